Set down the tree, the core value types and the checks

Cause: the repository was empty. This commit adds the design page, the build with one library per directory, the value types (outcome, identifiers, time, addresses, flow keys), the bounded ring, the published set as one immutable value, and the typed messages between entry VMs.

--- /dev/null
+++ b/catkinkeel/contract/messages.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+// Messages by which VMs pass the published set on, so that reads of the
+// configuration service do not grow with the fleet.
+
+#include "catkinkeel/base/identifier.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace catkinkeel
+{
+
+/// Asks for a part of a document: the index (empty `name`) or a chunk by its
+/// content hash.
+struct chunk_request
+{
+    set_version version;
+    std::string name;
+    std::string content_hash;
+    std::uint32_t offset = 0;
+
+    friend auto operator<=>(const chunk_request&,
+                            const chunk_request&) = default;
+};
+
+/// A part of a document, at most 8 KB of text.
+struct chunk_part
+{
+    set_version version;
+    std::string name;
+    std::string content_hash;
+    std::uint32_t offset = 0;
+    std::uint32_t total = 0;
+    std::string text;
+
+    friend auto operator<=>(const chunk_part&, const chunk_part&) = default;
+};
+
+} // namespace catkinkeel
--- /dev/null
+++ b/catkinkeel/contract/published_set.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+// All published objects at one version, as one immutable value. A set is made
+// whole and swapped whole; nothing half-consistent is ever in force.
+//
+// Example:
+//   published_set set({.version = {7}, .services = ..., .targets = ...});
+//   const reference* found = set.find_reference(public_endpoint,
+//   protocol::tcp);
+
+#include "catkinkeel/base/flow_key.hpp"
+#include "catkinkeel/contract/objects.hpp"
+
+#include <compare>
+#include <memory>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace catkinkeel
+{
+
+/// The plain content of a set, as read.
+struct published_objects
+{
+    set_version version;
+    /// Who published this version, for the audit trail; may be empty.
+    std::string published_by;
+    std::vector<service> services;
+    std::vector<data_centre> data_centres;
+    std::vector<target> targets;
+    std::vector<reference> references;
+
+    friend bool operator==(const published_objects&,
+                           const published_objects&) = default;
+};
+
+/// Immutable set with look-ups. Safe to read from any thread. Look-ups are
+/// O(1) in the mean; pointers and spans live as long as the set.
+class published_set
+{
+public:
+    /// Sorts the objects by identifier and builds the look-ups. The objects
+    /// must have passed `check_objects`; of duplicates an arbitrary one is
+    /// found.
+    explicit published_set(published_objects objects);
+
+    [[nodiscard]] set_version version() const
+    {
+        return objects_.version;
+    }
+    [[nodiscard]] const published_objects& objects() const
+    {
+        return objects_;
+    }
+
+    /// Null if there is none.
+    [[nodiscard]] const service* find_service(service_id id) const;
+    [[nodiscard]] const target* find_target(target_id id) const;
+    [[nodiscard]] const data_centre* find_data_centre(data_centre_id id) const;
+    [[nodiscard]] const reference*
+    find_reference(const endpoint& public_endpoint, protocol transport) const;
+
+    /// Targets of a service, ordered by identifier.
+    [[nodiscard]] std::span<const target> targets_of(service_id id) const;
+
+    /// False also for a data centre that is not in the set.
+    [[nodiscard]] bool in_service(data_centre_id id) const;
+
+    friend bool operator==(const published_set& a, const published_set& b)
+    {
+        return a.objects_ == b.objects_;
+    }
+
+private:
+    struct range
+    {
+        std::size_t first = 0;
+        std::size_t count = 0;
+    };
+
+    published_objects objects_;
+    std::unordered_map<service_id, range> targets_by_service_;
+    std::unordered_map<target_id, std::size_t> targets_by_id_;
+    std::unordered_map<std::uint64_t, std::size_t> references_by_endpoint_;
+};
+
+/// A set in force, shared by the threads that read it.
+using published_set_ptr = std::shared_ptr<const published_set>;
+
+} // namespace catkinkeel
--- /dev/null
+++ b/catkinkeel/link/message.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+// Every message that one entry VM sends another.
+
+#include "catkinkeel/contract/messages.hpp"
+#include "catkinkeel/flow/messages.hpp"
+#include "catkinkeel/target/messages.hpp"
+#include "catkinkeel/vm/messages.hpp"
+
+#include <variant>
+
+namespace catkinkeel
+{
+
+using message = std::variant<probe, probe_ack, probe_request, leave, replicate,
+                             replicate_ack, claim, handover, handover_ack,
+                             chunk_request, chunk_part, target_news>;
+
+/// A message with its receiver (when sent) or sender (when received).
+struct peer_message
+{
+    vm_id peer;
+    message content;
+
+    friend bool operator==(const peer_message&, const peer_message&) = default;
+};
+
+} // namespace catkinkeel
--- /dev/null
+++ b/catkinkeel/ring/ring_test.cpp
@@ -0,0 +1,50 @@
+#include "catkinkeel/ring/bounded_ring.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace catkinkeel;
+
+TEST_CASE("a full ring refuses, counts the refusal and keeps its order")
+{
+    bounded_ring<int> ring(2);
+    CHECK(ring.try_push(1));
+    CHECK(ring.try_push(2));
+    CHECK_FALSE(ring.try_push(3));
+    CHECK(ring.refused() == 1);
+    CHECK(ring.pop() == 1);
+    CHECK(ring.pop() == 2);
+}
+
+TEST_CASE("a closed ring gives out what it holds and then ends its reader")
+{
+    bounded_ring<int> ring(4);
+    ring.try_push(7);
+    ring.close();
+    CHECK_FALSE(ring.push(8));
+    CHECK(ring.pop() == 7);
+    CHECK(ring.pop() == std::nullopt);
+}
+
+TEST_CASE("a writer waits for room instead of losing an element")
+{
+    constexpr int count = 1000;
+    bounded_ring<int> ring(3);
+    std::jthread writer(
+        [&]
+        {
+            for (int i = 0; i < count; ++i)
+            {
+                ring.push(i);
+            }
+            ring.close();
+        });
+    int expected = 0;
+    while (const auto element = ring.pop())
+    {
+        REQUIRE(*element == expected);
+        ++expected;
+    }
+    CHECK(expected == count);
+}
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds, and runs every test.
+# Usage: tools/test.sh [build directory]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+tools/install_packages.sh
+cmake -S . -B "$build" -G Ninja >/dev/null
+cmake --build "$build"
+ctest --test-dir "$build" --output-on-failure -j 4
