Add the facts a decision takes and the verdicts it gives

Cause: the packet reader and the decision core are written side by side and need one interface between them. No behaviour yet, so nothing to measure.

--- /dev/null
+++ b/catkinkeel/flow/packet_facts.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+// What the decision needs to know of a packet, and what it decides. A front end
+// fills the facts from whatever it reads and carries the verdict out.
+
+#include "catkinkeel/base/flow_key.hpp"
+#include "catkinkeel/base/identifier.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <variant>
+
+namespace catkinkeel
+{
+
+/// Where in its flow's life a packet stands, as far as the packet itself tells.
+enum class flow_phase : std::uint8_t
+{
+    /// TCP SYN without ACK.
+    opening,
+    /// Any other TCP segment.
+    established,
+    /// TCP FIN from the caller.
+    finishing,
+    /// TCP RST from the caller.
+    aborted,
+    /// UDP, which does not tell whether it opens a flow.
+    datagram,
+    /// An ICMP error that quotes a packet of the flow; opens nothing.
+    icmp_error
+};
+
+/// Facts of one packet. `hops` counts how often entry VMs have relayed it.
+struct packet_facts
+{
+    flow_key key;
+    flow_phase phase = flow_phase::established;
+    std::uint8_t hops = 0;
+
+    friend auto operator<=>(const packet_facts&, const packet_facts&) = default;
+};
+
+/// Send the packet to this target.
+struct deliver
+{
+    target_id target;
+    endpoint where;
+
+    friend auto operator<=>(const deliver&, const deliver&) = default;
+};
+
+/// Send the packet to another entry VM with its hop count raised by one.
+struct relay
+{
+    vm_id vm;
+    endpoint where;
+
+    friend auto operator<=>(const relay&, const relay&) = default;
+};
+
+enum class refusal_reason : std::uint8_t
+{
+    no_capacity,
+    no_target,
+    service_rate,
+    network_rate
+};
+
+/// Answer that the flow is refused (RST or ICMP). Only for a flow that no
+/// target has seen.
+struct refuse
+{
+    refusal_reason reason = refusal_reason::no_capacity;
+
+    friend auto operator<=>(const refuse&, const refuse&) = default;
+};
+
+enum class discard_reason : std::uint8_t
+{
+    no_reference,
+    unknown_flow,
+    uncertain_service,
+    hop_limit,
+    not_ready,
+    data_centre_out,
+    unreachable_owner,
+    flow_table_full
+};
+
+/// Drop the packet silently; the caller's retransmission repeats it.
+struct discard
+{
+    discard_reason reason = discard_reason::unknown_flow;
+
+    friend auto operator<=>(const discard&, const discard&) = default;
+};
+
+using verdict = std::variant<deliver, relay, refuse, discard>;
+
+} // namespace catkinkeel
