--- a/catkinkeel/flow/messages.hpp
+++ b/catkinkeel/flow/messages.hpp
@@ -72,9 +72,9 @@
     friend bool operator==(const bucket_state&, const bucket_state&) = default;
 };
 
-/// Holder to standby. `buckets` names the buckets for which the sender has
-/// chosen the receiver as standby since the previous message; the first message
-/// after that carries their overrides.
+/// Holder to standby. `buckets` names the buckets whose base tables follow in
+/// this message: `overrides` and `uncertain` replace what the receiver has for
+/// them.
 struct replicate
 {
     /// Random at the start of the sending process; a new one empties what the
@@ -82,6 +82,9 @@
     std::uint64_t session = 0;
     std::uint64_t sequence = 0;
     set_version in_effect;
+    /// The receiver becomes standby of `buckets` now: it first forgets the
+    /// exceptions that it holds for them.
+    bool assign = false;
     bucket_state state;
 
     friend bool operator==(const replicate&, const replicate&) = default;
@@ -103,6 +106,12 @@
     /// Grows with each claim of the session.
     std::uint64_t round = 0;
     set_version in_effect;
+    /// Names the members and data centres that ownership was computed from; a
+    /// receiver whose own differ does not answer.
+    std::uint64_t map_fingerprint = 0;
+    /// Whether the claimant still holds some of these buckets (after a
+    /// partition); the receiver then sends every flow it knows there.
+    bool holding = false;
 
     friend auto operator<=>(const claim&, const claim&) = default;
 };
@@ -116,6 +125,7 @@
     std::uint64_t sequence = 0;
     bool last = false;
     set_version in_effect;
+    std::uint64_t map_fingerprint = 0;
     bucket_state state;
 
     friend bool operator==(const handover&, const handover&) = default;
