--- a/catkinkeel/flow/balancer.cpp
+++ b/catkinkeel/flow/balancer.cpp
@@ -127,27 +127,24 @@
     }
     const bucket_id bucket = bucket_of(hash);
     const bucket_slot& slot = buckets_[bucket.value];
-    if (slot.doubted)
-    {
-        // Whoever has taken the bucket over in the meantime decides.
-        const std::optional<vm_id> other = likely_holder(bucket);
-        return other ? relay_to(*other, facts.hops)
-                     : verdict{discard{discard_reason::not_ready}};
-    }
     const bool may_be_unseen = now < lineages_[slot.lineage].unseen_until;
     const bool new_flow =
         opens(facts.phase) ||
         (facts.phase == flow_phase::datagram && !may_be_unseen);
-    if (!new_flow)
+    if (slot.doubted || new_flow)
     {
-        return follow_base(facts, hash, now);
+        if (const std::optional<vm_id> other = other_decider(facts, bucket))
+        {
+            return relay_to(*other, facts.hops);
+        }
+    }
+    if (slot.doubted)
+    {
+        return discard{discard_reason::not_ready};
     }
-    if (slot.in_flight)
+    if (!new_flow)
     {
-        // The new holder would not learn of a flow opened here now.
-        const std::optional<vm_id> owner = map_.owner(bucket);
-        return owner ? relay_to(*owner, facts.hops)
-                     : verdict{discard{discard_reason::not_ready}};
+        return follow_base(facts, hash, now);
     }
     if (record != nullptr)
     {
@@ -156,6 +153,28 @@
     return open_flow(facts, hash, now);
 }
 
+std::optional<vm_id> balancer::other_decider(const packet_facts& facts,
+                                             bucket_id bucket) const
+{
+    const bucket_slot& slot = buckets_[bucket.value];
+    if (slot.doubted)
+    {
+        // Whoever has taken the bucket over in the meantime decides.
+        return likely_holder(bucket);
+    }
+    const std::optional<vm_id> owner = map_.owner(bucket);
+    if (!owner || *owner == self_)
+    {
+        return std::nullopt;
+    }
+    // The owner decides if it holds the bucket already; if it does not, it
+    // sends the packet back with more hops. What is in a handover message is
+    // the owner's in any case, which would not learn of a flow opened here now.
+    constexpr std::uint8_t hops_from_owner = 2;
+    return slot.in_flight || facts.hops < hops_from_owner ? owner
+                                                          : std::nullopt;
+}
+
 verdict balancer::route_to_holder(const packet_facts& facts,
                                   bucket_id bucket) const
 {
--- a/catkinkeel/flow/balancer.hpp
+++ b/catkinkeel/flow/balancer.hpp
@@ -120,8 +120,9 @@
     /// Takes the members as this VM now sees them.
     void apply_view(const member_view& view, instant now);
 
-    /// While false no flow is opened: no peer has acknowledged this VM lately,
-    /// so another may have taken its buckets.
+    /// While false no flow is opened and no bucket is taken over: no peer has
+    /// acknowledged this VM lately, so another may hold its buckets. False at
+    /// the start.
     void allow_opening(bool allowed)
     {
         may_open_ = allowed;
@@ -242,6 +243,8 @@
     verdict relay_to(vm_id vm, std::uint8_t hops) const;
     [[nodiscard]] bool reopens(const flow_record& record,
                                const packet_facts& facts, instant now) const;
+    [[nodiscard]] std::optional<vm_id> other_decider(const packet_facts& facts,
+                                                     bucket_id bucket) const;
     [[nodiscard]] bool accepts_new(target_id id, instant now) const;
     std::optional<target_id> place(const reference& ref, std::uint64_t hash,
                                    instant now, std::optional<target_id> avoid);
@@ -299,6 +302,7 @@
     [[nodiscard]] std::optional<vm_id> wanted_standby(bucket_id bucket) const;
     replication_stream& stream_to(vm_id standby);
     void restart_stream(vm_id standby);
+    void offer_buckets_of_others(instant now);
     void pump_handovers(byte_count& budget, instant now,
                         std::vector<outgoing>& out);
     void pump_streams(byte_count& budget, instant now,
@@ -315,9 +319,9 @@
 
     // replication_source
     [[nodiscard]] set_version version_in_effect() const override;
-    [[nodiscard]] std::size_t lineage_of(bucket_id bucket) const override;
+    [[nodiscard]] std::uint16_t lineage_of(bucket_id bucket) const override;
     [[nodiscard]] const base_tables&
-    base_of_lineage(std::size_t index) const override;
+    base_of_lineage(std::uint16_t index) const override;
     [[nodiscard]] std::optional<target_id>
     target_of(const flow_key& key) const override;
 
@@ -331,11 +335,12 @@
     instant set_since_{};
     member_view view_;
     bucket_map map_;
+    instant map_since_{};
     /// Owners before the latest change of owners, and owners if this VM's data
     /// centre had no VM: where a bucket that is not held yet is likely held.
     bucket_map previous_map_;
     bucket_map others_map_;
-    bool may_open_ = true;
+    bool may_open_ = false;
 
     // find() of the table does not change it, but hands out mutable records.
     mutable flow_table flows_;
--- a/catkinkeel/flow/balancer_peers.cpp
+++ b/catkinkeel/flow/balancer_peers.cpp
@@ -21,6 +21,9 @@
 /// Keeps a handover message below the 16 KB that `link` accepts.
 constexpr std::uint64_t handover_bytes = 9000;
 constexpr std::uint64_t smallest_handover = 1000;
+/// An owner that has not claimed a bucket by then holds it too: both took it
+/// over while they did not see each other.
+constexpr duration unclaimed_bucket_timeout = 1s;
 
 } // namespace
 
@@ -72,18 +75,20 @@
     if (bucket_map::fingerprint_of(*context_.set, view_) != map_.fingerprint())
     {
         previous_map_ = std::exchange(map_, bucket_map(*context_.set, view_));
+        map_since_ = now;
         owned_share_.clear();
         for (const data_centre& home : context_.plan->group())
         {
             owned_share_[home.id.value] = map_.owned_share(self_, home.id);
         }
         standbys_stale_ = true;
-        for (auto& [vm, to] : handovers_)
-        {
-            mark_not_in_flight(to.stream.buckets_in_flight());
-        }
-        handovers_.clear();
     }
+    // Handovers hold for one version and one map only. Claimants ask again.
+    for (auto& [vm, to] : handovers_)
+    {
+        mark_not_in_flight(to.stream.buckets_in_flight());
+    }
+    handovers_.clear();
     review_holdings(now);
 }
 
@@ -169,6 +174,7 @@
     {
         take_unheld(now);
     }
+    offer_buckets_of_others(now);
 }
 
 std::optional<vm_id> balancer::likely_holder(bucket_id bucket) const
@@ -267,6 +273,10 @@
 
 void balancer::take_unheld(instant now)
 {
+    if (!may_open_)
+    {
+        return;
+    }
     for (std::uint32_t i = 0; i < bucket_count; ++i)
     {
         const bucket_id bucket{static_cast<std::uint16_t>(i)};
@@ -574,6 +584,23 @@
 
 } // namespace
 
+void balancer::offer_buckets_of_others(instant now)
+{
+    if (now - map_since_ < unclaimed_bucket_timeout)
+    {
+        return;
+    }
+    for (std::uint32_t i = 0; i < bucket_count; ++i)
+    {
+        const auto owner = map_.owner({static_cast<std::uint16_t>(i)});
+        if (buckets_[i].held && owner && *owner != self_)
+        {
+            handovers_.try_emplace(
+                *owner, handover_to{handover_stream(0, 0), /*all_flows=*/true});
+        }
+    }
+}
+
 void balancer::pump_handovers(byte_count& budget, instant now,
                               std::vector<outgoing>& out)
 {
@@ -673,7 +700,7 @@
     {
         if (auto update = stream.next(*this, budget, now))
         {
-            spend(budget, estimated_size(update->state));
+            spend(budget, estimated_size(*update));
             out.push_back({vm, std::move(*update)});
         }
     }
@@ -777,12 +804,12 @@
     return context_.set ? context_.set->version() : set_version{};
 }
 
-std::size_t balancer::lineage_of(bucket_id bucket) const
+std::uint16_t balancer::lineage_of(bucket_id bucket) const
 {
     return buckets_[bucket.value].lineage;
 }
 
-const base_tables& balancer::base_of_lineage(std::size_t index) const
+const base_tables& balancer::base_of_lineage(std::uint16_t index) const
 {
     return lineages_[index].base;
 }
--- a/catkinkeel/flow/balancer_sweep.cpp
+++ b/catkinkeel/flow/balancer_sweep.cpp
@@ -175,15 +175,9 @@
         }
         lineages_[key.first].base.drop_override(key.second);
         ++counters_.overrides_dropped;
-        for (std::uint32_t i = 0; i < bucket_count; ++i)
+        for (auto& [vm, stream] : streams_)
         {
-            const bucket_id bucket{static_cast<std::uint16_t>(i)};
-            const bucket_slot& slot = buckets_[i];
-            if (slot.held && slot.lineage == key.first && slot.standby &&
-                map_.home(bucket) == key.second.home)
-            {
-                stream_to(*slot.standby).rebase(bucket);
-            }
+            stream.drop_override(key.first, key.second);
         }
         at = switches_.erase(at);
     }
--- a/catkinkeel/flow/balancer_test.cpp
+++ b/catkinkeel/flow/balancer_test.cpp
@@ -74,10 +74,13 @@
     void publish()
     {
         ++objects.version.value;
+        in_effect = objects;
         group.publish(objects, 2s);
     }
 
     published_objects objects = exlibris();
+    /// As last published; `objects` is the next set while it is edited.
+    published_objects in_effect = objects;
     fake_group group;
     caller_model callers;
 };
@@ -122,7 +125,7 @@
          [](site& s)
          {
              s.group.add_vm({13}, {1});
-             s.group.give_set({13}, s.objects);
+             s.group.give_set({13}, s.in_effect);
          }},
         {"stop a VM gracefully",
          [](site& s)
@@ -211,6 +214,8 @@
     {
         INFO("seed " << seed);
         site s({.seed = seed});
+        // A hundred seconds' worth of flows are open, as on the users' sites.
+        s.callers.open(20000, service_id{1});
         s.run(4s, 20);
         // Exceptions of a drain exist when the VM dies.
         s.objects.targets[0].wish = target_wish::drain;
@@ -258,7 +263,7 @@
         s.run(3s);
         s.group.leave({21});
         s.group.add_vm({13}, {1});
-        s.group.give_set({13}, s.objects);
+        s.group.give_set({13}, s.in_effect);
         s.objects.targets[2].wish = target_wish::drain;
         s.publish();
         s.run(20s);
--- a/catkinkeel/flow/base_tables.hpp
+++ b/catkinkeel/flow/base_tables.hpp
@@ -15,16 +15,6 @@
 namespace catkinkeel
 {
 
-/// Names one base table: a public address and the home data centre of the
-/// buckets it holds for.
-struct base_key
-{
-    public_address address;
-    data_centre_id home;
-
-    friend auto operator<=>(const base_key&, const base_key&) = default;
-};
-
 /// A published set with its placement plan.
 struct placement_context
 {
--- a/catkinkeel/flow/messages.hpp
+++ b/catkinkeel/flow/messages.hpp
@@ -35,6 +35,16 @@
                             const weighted_target&) = default;
 };
 
+/// Names one base table: a public address and the home data centre of the
+/// buckets it holds for.
+struct base_key
+{
+    public_address address;
+    data_centre_id home;
+
+    friend auto operator<=>(const base_key&, const base_key&) = default;
+};
+
 /// The base table of one public address for the buckets of one home data
 /// centre, where it differs from the table of the set in effect.
 struct base_override
@@ -72,9 +82,9 @@
     friend bool operator==(const bucket_state&, const bucket_state&) = default;
 };
 
-/// Holder to standby. `buckets` names the buckets whose base tables follow in
-/// this message: `overrides` and `uncertain` replace what the receiver has for
-/// them.
+/// Holder to standby. With buckets, the receiver becomes their standby: it
+/// forgets the exceptions that it holds for them and takes `overrides` and
+/// `uncertain` as their base tables.
 struct replicate
 {
     /// Grows each time the sender begins again; a higher one empties what the
@@ -82,9 +92,11 @@
     std::uint64_t session = 0;
     std::uint64_t sequence = 0;
     set_version in_effect;
-    /// The receiver becomes standby of `buckets` now: it first forgets the
-    /// exceptions that it holds for them.
-    bool assign = false;
+    /// Groups the buckets that share base tables, over all messages of the
+    /// session.
+    std::uint16_t lineage = 0;
+    /// Overrides that the buckets of `lineage` no longer have.
+    std::vector<base_key> dropped;
     bucket_state state;
 
     friend bool operator==(const replicate&, const replicate&) = default;
--- a/catkinkeel/flow/replica_store.cpp
+++ b/catkinkeel/flow/replica_store.cpp
@@ -25,39 +25,47 @@
     }
     if (update.session > known.session)
     {
-        known = {.session = update.session, .sequence = 0, .buckets = {}};
+        known = sender{.session = update.session};
     }
     if (update.sequence == known.sequence + 1)
     {
-        const bool has_base = !update.state.buckets.empty();
-        if (has_base &&
+        const bool relative_to_set =
+            !update.state.buckets.empty() || !update.dropped.empty();
+        if (relative_to_set &&
             (!context.set || context.set->version() != update.in_effect))
         {
             return std::nullopt;
         }
-        apply_base(known, update, context);
+        apply_assignment(known, update, context);
         apply_exceptions(known, update);
         known.sequence = update.sequence;
     }
     return replicate_ack{update.session, known.sequence};
 }
 
-void replica_store::apply_base(sender& from, const replicate& update,
-                               const placement_context& context)
+void replica_store::apply_assignment(sender& from, const replicate& update,
+                                     const placement_context& context)
 {
-    if (update.state.buckets.empty())
+    if (!update.state.buckets.empty())
     {
-        return;
+        const base_tables sent(update.state.overrides, update.state.uncertain,
+                               context);
+        std::shared_ptr<base_tables>& base = from.lineages[update.lineage];
+        if (!base || *base != sent)
+        {
+            base = std::make_shared<base_tables>(sent);
+        }
+        for (const bucket_id bucket : update.state.buckets)
+        {
+            from.buckets[bucket] = {.base = base, .exceptions = {}};
+        }
     }
-    const auto base = std::make_shared<base_tables>(
-        update.state.overrides, update.state.uncertain, context);
-    for (const bucket_id bucket : update.state.buckets)
+    const auto lineage = from.lineages.find(update.lineage);
+    if (lineage != from.lineages.end())
     {
-        replica& held = from.buckets[bucket];
-        held.base = base;
-        if (update.assign)
+        for (const base_key& key : update.dropped)
         {
-            held.exceptions.clear();
+            lineage->second->drop_override(key);
         }
     }
 }
@@ -85,14 +93,22 @@
 void replica_store::advance(const std::vector<base_change>& changes)
 {
     std::set<base_tables*> advanced;
+    const auto advance_once = [&](base_tables* base)
+    {
+        if (base != nullptr && advanced.insert(base).second)
+        {
+            base->advance(changes);
+        }
+    };
     for (auto& [vm, from] : senders_)
     {
+        for (auto& [index, base] : from.lineages)
+        {
+            advance_once(base.get());
+        }
         for (auto& [bucket, held] : from.buckets)
         {
-            if (held.base && advanced.insert(held.base.get()).second)
-            {
-                held.base->advance(changes);
-            }
+            advance_once(held.base.get());
         }
     }
 }
--- a/catkinkeel/flow/replica_store.hpp
+++ b/catkinkeel/flow/replica_store.hpp
@@ -64,11 +64,12 @@
     {
         std::uint64_t session = 0;
         std::uint64_t sequence = 0;
+        std::map<std::uint16_t, std::shared_ptr<base_tables>> lineages;
         std::map<bucket_id, replica> buckets;
     };
 
-    static void apply_base(sender& from, const replicate& update,
-                           const placement_context& context);
+    static void apply_assignment(sender& from, const replicate& update,
+                                 const placement_context& context);
     static void apply_exceptions(sender& from, const replicate& update);
 
     std::map<vm_id, sender> senders_;
--- a/catkinkeel/flow/replication.cpp
+++ b/catkinkeel/flow/replication.cpp
@@ -29,6 +29,12 @@
     return {bytes};
 }
 
+byte_count estimated_size(const replicate& update)
+{
+    return estimated_size(update.state) +
+           byte_count{update.dropped.size() * override_bytes};
+}
+
 std::optional<replicate>
 replication_stream::next(const replication_source& source, byte_count budget,
                          instant now)
@@ -36,7 +42,7 @@
     if (!in_flight_)
     {
         const bool nothing_to_say =
-            to_assign_.empty() && to_rebase_.empty() && queue_.empty();
+            to_assign_.empty() && to_drop_.empty() && queue_.empty();
         if (nothing_to_say || budget.value < message_bytes + exception_bytes)
         {
             return std::nullopt;
@@ -45,8 +51,7 @@
         sent_at_ = now;
         return in_flight_;
     }
-    if (now - sent_at_ < resend_after ||
-        estimated_size(in_flight_->state) > budget)
+    if (now - sent_at_ < resend_after || estimated_size(*in_flight_) > budget)
     {
         return std::nullopt;
     }
@@ -54,8 +59,7 @@
     // Base tables are relative to the version in effect when they are sent.
     if (!in_flight_->state.buckets.empty())
     {
-        const base_tables& base = source.base_of_lineage(
-            source.lineage_of(in_flight_->state.buckets.front()));
+        const base_tables& base = source.base_of_lineage(in_flight_->lineage);
         in_flight_->state.overrides = base.export_overrides();
         in_flight_->state.uncertain = base.export_uncertain();
     }
@@ -68,17 +72,15 @@
 {
     replicate update{.session = session_,
                      .sequence = ++sequence_,
-                     .in_effect = source.version_in_effect(),
-                     .assign = !to_assign_.empty(),
-                     .state = {}};
-    if (update.assign)
+                     .in_effect = source.version_in_effect()};
+    if (!to_assign_.empty())
     {
-        take_buckets(to_assign_, source, budget, update);
+        take_assignments(source, budget, update);
         return update;
     }
-    if (!to_rebase_.empty())
+    if (!to_drop_.empty())
     {
-        take_buckets(to_rebase_, source, budget, update);
+        take_dropped(update);
         return update;
     }
     const std::size_t room =
@@ -95,22 +97,39 @@
     return update;
 }
 
-void replication_stream::take_buckets(std::vector<bucket_id>& from,
-                                      const replication_source& source,
-                                      byte_count budget, replicate& update)
+void replication_stream::take_assignments(const replication_source& source,
+                                          byte_count budget, replicate& update)
 {
-    const std::size_t lineage = source.lineage_of(from.back());
-    const base_tables& base = source.base_of_lineage(lineage);
+    update.lineage = source.lineage_of(to_assign_.back());
+    const base_tables& base = source.base_of_lineage(update.lineage);
     update.state.overrides = base.export_overrides();
     update.state.uncertain = base.export_uncertain();
     const std::size_t room = std::clamp<std::size_t>(
         budget.value / bucket_bytes, 1, buckets_per_message);
-    while (!from.empty() && update.state.buckets.size() < room &&
-           source.lineage_of(from.back()) == lineage)
+    while (!to_assign_.empty() && update.state.buckets.size() < room &&
+           source.lineage_of(to_assign_.back()) == update.lineage)
     {
-        update.state.buckets.push_back(from.back());
-        from.pop_back();
+        update.state.buckets.push_back(to_assign_.back());
+        to_assign_.pop_back();
+    }
+    std::ranges::sort(update.state.buckets);
+}
+
+void replication_stream::take_dropped(replicate& update)
+{
+    update.lineage = to_drop_.front().first;
+    const auto of_lineage = [&](const auto& entry)
+    {
+        return entry.first == update.lineage;
+    };
+    for (const auto& [lineage, key] : to_drop_)
+    {
+        if (lineage == update.lineage)
+        {
+            update.dropped.push_back(key);
+        }
     }
+    std::erase_if(to_drop_, of_lineage);
 }
 
 bool replication_stream::acknowledge(const replicate_ack& ack)
--- a/catkinkeel/flow/replication.hpp
+++ b/catkinkeel/flow/replication.hpp
@@ -11,16 +11,18 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace catkinkeel
 {
 
-/// Bytes that one exception takes in a message, and a message without any; for
-/// keeping to the byte budget.
+/// Bytes that one exception and one bucket take in a message, and a message
+/// without any; for keeping to the byte budget. Buckets travel as differences
+/// of sorted numbers.
 constexpr std::uint64_t exception_bytes = 10;
 constexpr std::uint64_t message_bytes = 150;
-constexpr std::uint64_t bucket_bytes = 3;
+constexpr std::uint64_t bucket_bytes = 2;
 
 /// What a replication stream reads when it builds a message.
 class replication_source
@@ -30,9 +32,9 @@
 
     [[nodiscard]] virtual set_version version_in_effect() const = 0;
     /// Identifies the base tables of a bucket: equal numbers, equal tables.
-    [[nodiscard]] virtual std::size_t lineage_of(bucket_id bucket) const = 0;
+    [[nodiscard]] virtual std::uint16_t lineage_of(bucket_id bucket) const = 0;
     [[nodiscard]] virtual const base_tables&
-    base_of_lineage(std::size_t lineage) const = 0;
+    base_of_lineage(std::uint16_t lineage) const = 0;
     /// Empty if the flow has ended.
     [[nodiscard]] virtual std::optional<target_id>
     target_of(const flow_key& key) const = 0;
@@ -52,10 +54,10 @@
         to_assign_.push_back(bucket);
     }
 
-    /// The base tables of the bucket have changed.
-    void rebase(bucket_id bucket)
+    /// Buckets of the lineage no longer have this override.
+    void drop_override(std::uint16_t lineage, const base_key& key)
     {
-        to_rebase_.push_back(bucket);
+        to_drop_.emplace_back(lineage, key);
     }
 
     /// Tells the flow's target, or its end if it has ended when its turn comes.
@@ -99,17 +101,16 @@
 
 private:
     replicate build(const replication_source& source, byte_count budget);
-    /// Moves buckets with the tables of the last one into the message.
-    static void take_buckets(std::vector<bucket_id>& from,
-                             const replication_source& source,
-                             byte_count budget, replicate& update);
+    void take_assignments(const replication_source& source, byte_count budget,
+                          replicate& update);
+    void take_dropped(replicate& update);
 
     std::uint64_t session_;
     std::uint64_t sequence_ = 0;
     std::optional<replicate> in_flight_;
     instant sent_at_{};
     std::vector<bucket_id> to_assign_;
-    std::vector<bucket_id> to_rebase_;
+    std::vector<std::pair<std::uint16_t, base_key>> to_drop_;
     std::deque<flow_key> queue_;
     std::uint64_t added_ = 0;
     std::uint64_t acknowledged_ = 0;
@@ -117,5 +118,6 @@
 
 /// Bytes that a message of this content is reckoned to take.
 byte_count estimated_size(const bucket_state& state);
+byte_count estimated_size(const replicate& update);
 
 } // namespace catkinkeel
--- a/catkinkeel/testing/fake_group.cpp
+++ b/catkinkeel/testing/fake_group.cpp
@@ -17,7 +17,7 @@
 {
     if (const auto* update = std::get_if<replicate>(&content))
     {
-        return estimated_size(update->state).value;
+        return estimated_size(*update).value;
     }
     if (const auto* offer = std::get_if<handover>(&content))
     {
@@ -55,6 +55,7 @@
     added.core = std::make_unique<balancer>(settings_.balancer, id, data_centre,
                                             (++sessions_) << 32U, bearings);
     added.changed_at = now_;
+    added.woken_at = now_;
     added.budget = settings_.control_burst;
     added.view.self = id;
     vms_.insert_or_assign(id, std::move(added));
@@ -93,6 +94,7 @@
         now_ - each.changed_at >= settings_.detection;
     each.paused = false;
     each.changed_at = now_;
+    each.woken_at = now_;
     if (was_declared_dead)
     {
         ++each.about.incarnation;
@@ -251,6 +253,7 @@
         give_set(each.about.id, each.sets_due.begin()->second);
         each.sets_due.erase(each.sets_due.begin());
     }
+    each.core->allow_opening(now_ - each.woken_at > settings_.news_delay);
     if (steps_ % steps_per_tick == 0)
     {
         each.core->tick(now_);
--- a/catkinkeel/testing/fake_group.hpp
+++ b/catkinkeel/testing/fake_group.hpp
@@ -140,6 +140,8 @@
         bool paused = false;
         bool leaving = false;
         instant changed_at{};
+        /// Start, or end of a pause; peers acknowledge it a little later.
+        instant woken_at{};
         member_view view;
         double budget = 0;
         std::uint64_t bytes = 0;
