Let the owner decide for packets without a record during a handover

Change: unknown packets of a bucket owned elsewhere go to the owner first; a leaving holder is given up only 10 s after its last message, and replicas of changed owners are kept 60 s. Ruled out: order of set versions (same count with one version).

--- a/catkinkeel/flow/balancer.cpp
+++ b/catkinkeel/flow/balancer.cpp
@@ -131,12 +131,9 @@
     const bool new_flow =
         opens(facts.phase) ||
         (facts.phase == flow_phase::datagram && !may_be_unseen);
-    if (slot.doubted || new_flow)
+    if (const std::optional<vm_id> other = other_decider(facts, bucket))
     {
-        if (const std::optional<vm_id> other = other_decider(facts, bucket))
-        {
-            return relay_to(*other, facts.hops);
-        }
+        return relay_to(*other, facts.hops);
     }
     if (slot.doubted)
     {
@@ -167,9 +164,10 @@
     {
         return std::nullopt;
     }
-    // The owner decides if it holds the bucket already; if it does not, it
-    // sends the packet back with more hops. What is in a handover message is
-    // the owner's in any case, which would not learn of a flow opened here now.
+    // The owner may hold the bucket already and know the flow; if it does not
+    // hold it, it sends the packet back with more hops. What is in a handover
+    // message is the owner's in any case, which would not learn of a flow
+    // opened here now.
     constexpr std::uint8_t hops_from_owner = 2;
     return slot.in_flight || facts.hops < hops_from_owner ? owner
                                                           : std::nullopt;
--- a/catkinkeel/flow/balancer_peers.cpp
+++ b/catkinkeel/flow/balancer_peers.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-/// A VM that left gracefully hands over within this time or not at all.
+/// A VM that left gracefully and sent no handover for this time has stopped.
 constexpr duration leaving_holder_timeout = 10s;
 /// VMs of a data centre taken out get no packets after this time, below the
 /// 3 s that users are promised.
@@ -164,7 +164,7 @@
                          now - std::max(set_since_, claims_.begun_at()) >
                              out_of_service_holder_timeout;
         const bool gone = found != nullptr && found->state == liveness::left &&
-                          now - claims_.begun_at() > leaving_holder_timeout;
+                          claims_.silence(vm, now) > leaving_holder_timeout;
         if (found == nullptr || out || gone)
         {
             claims_.forget(vm);
@@ -490,6 +490,7 @@
     {
         return;
     }
+    claims_.heard(from, now);
     for (const public_address& address : offer.state.uncertain)
     {
         recent_moves_.try_emplace(address, now);
--- a/catkinkeel/flow/handover.cpp
+++ b/catkinkeel/flow/handover.cpp
@@ -22,6 +22,13 @@
     map_fingerprint_ = map_fingerprint;
     begun_at_ = now;
     asked_at_.clear();
+    heard_at_.clear();
+}
+
+duration claim_round::silence(vm_id holder, instant now) const
+{
+    const auto heard = heard_at_.find(holder);
+    return now - (heard == heard_at_.end() ? begun_at_ : heard->second);
 }
 
 std::vector<vm_id> claim_round::due(instant now)
--- a/catkinkeel/flow/handover.hpp
+++ b/catkinkeel/flow/handover.hpp
@@ -38,6 +38,15 @@
     /// Whether a handover belongs to this round.
     [[nodiscard]] bool matches(const handover& offer) const;
 
+    /// Notes a message of the holder.
+    void heard(vm_id holder, instant now)
+    {
+        heard_at_[holder] = now;
+    }
+
+    /// Time since the holder's last message, or since the round began.
+    [[nodiscard]] duration silence(vm_id holder, instant now) const;
+
     /// Notes that the holder has sent its last message.
     void complete(vm_id holder)
     {
@@ -80,6 +89,7 @@
     instant begun_at_{};
     std::set<vm_id> pending_;
     std::map<vm_id, instant> asked_at_;
+    std::map<vm_id, instant> heard_at_;
 };
 
 /// The holder's side of one claimant's round: one message in flight at a time.
--- a/catkinkeel/flow/replica_store.cpp
+++ b/catkinkeel/flow/replica_store.cpp
@@ -10,7 +10,8 @@
 namespace
 {
 
-constexpr duration unwanted_replica_timeout = 10s;
+/// Longer than any handover of the sender, which may yet die during it.
+constexpr duration unwanted_replica_timeout = 60s;
 
 } // namespace
 
--- a/catkinkeel/flow/replica_store.hpp
+++ b/catkinkeel/flow/replica_store.hpp
@@ -43,7 +43,7 @@
     /// Removes and returns the replica of a bucket as `owner` sent it.
     std::optional<bucket_replica> take(vm_id owner, bucket_id bucket);
 
-    /// Forgets replicas of buckets that for 10 s have belonged to another owner
+    /// Forgets replicas of buckets that for 60 s have belonged to another owner
     /// or standby than their sender and `self`. Views of sender and receiver
     /// may differ for less than that, and the sender would not tell again.
     void expire(const bucket_map& map, vm_id self, instant now);
