--- a/catkinkeel/testing/caller_model.cpp
+++ b/catkinkeel/testing/caller_model.cpp
@@ -39,7 +39,7 @@
         flow.service = service.value_or(service_id{});
         flow.opened_at = group_.now();
         attempt_opening(flow);
-        flows_.push_back(std::move(flow));
+        flows_.push_back(flow);
     }
     forget_finished();
 }
