Add membership of entry VMs by probes and gossip

Cause: ownership of buckets, the steward rule and the replication of flows all need to know which VMs are alive, without a cost that grows with the fleet. The library vm holds a state machine for SWIM-style probing (time, randomness and messages are passed in) and the parser of the platform's VM list.

--- /dev/null
+++ b/catkinkeel/vm/vm_test.cpp
@@ -0,0 +1,304 @@
+#include "catkinkeel/testing/vm_network.hpp"
+#include "catkinkeel/vm/parse_vm_list.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace catkinkeel;
+using catkinkeel::testing::vm_network;
+using catkinkeel::testing::vm_network_settings;
+
+namespace
+{
+
+vm_id vm(std::uint32_t value)
+{
+    return {value};
+}
+
+vm_network make_fleet(std::uint32_t count, std::uint64_t seed,
+                      vm_network_settings settings = {})
+{
+    vm_network fleet(settings, seed);
+    for (std::uint32_t i = 1; i <= count; ++i)
+    {
+        fleet.start(vm(i));
+    }
+    fleet.publish_list();
+    return fleet;
+}
+
+vm_network make_converged_fleet(std::uint32_t count, std::uint64_t seed,
+                                vm_network_settings settings = {})
+{
+    vm_network fleet = make_fleet(count, seed, settings);
+    REQUIRE(fleet.run_until(20s, [&] { return fleet.converged(); }));
+    fleet.run_for(5s);
+    return fleet;
+}
+
+} // namespace
+
+TEST_CASE("a fleet that starts at once sees itself whole within seconds")
+{
+    // Guards against a joiner that learns of the others only one probe period
+    // at a time.
+    for (const std::uint32_t count : {6U, 36U, 144U})
+    {
+        vm_network fleet = make_fleet(count, count);
+        CAPTURE(count);
+        CHECK(fleet.run_until(10s, [&] { return fleet.converged(); }));
+    }
+}
+
+TEST_CASE("a death is seen by every VM within 5 s at 6 and 8 s at 36 VMs")
+{
+    // Guards against a probe round or suspicion that starves a silent VM.
+    // A VM is probed at least once in two rounds by each other one, and 1.5 s
+    // of suspicion and the gossip follow.
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        for (const auto& [count, limit] :
+             {std::pair{6U, duration(5s)}, std::pair{36U, duration(8s)}})
+        {
+            vm_network fleet = make_converged_fleet(count, seed);
+            fleet.kill(vm(3));
+            CAPTURE(seed, count);
+            CHECK(fleet.run_until(
+                limit, [&] { return fleet.all_see(vm(3), liveness::dead); }));
+            for (std::uint32_t i = 1; i <= count; ++i)
+            {
+                CHECK((i == 3 || fleet.all_see(vm(i), liveness::alive)));
+            }
+        }
+    }
+}
+
+TEST_CASE("lost, late and repeated messages kill no live VM")
+{
+    // Guards against a false death from a single lost probe; the loss is far
+    // above what TCP between data centres shows.
+    vm_network fleet = make_converged_fleet(
+        12, 7, {.loss = 0.1, .duplication = 0.2, .longest_delay = 60ms});
+    bool died = false;
+    fleet.run_until(120s,
+                    [&]
+                    {
+                        for (std::uint32_t i = 1; i <= 12; ++i)
+                        {
+                            for (const member& each :
+                                 fleet.at(vm(i)).view().members)
+                            {
+                                died = died || each.state == liveness::dead;
+                            }
+                        }
+                        return died;
+                    });
+    CHECK_FALSE(died);
+}
+
+TEST_CASE("an unlisted joiner that names itself is seen by the whole fleet")
+{
+    // Guards against a joiner that waits for the lagging list of the others.
+    vm_network fleet = make_converged_fleet(12, 8);
+    fleet.start(vm(50));
+    fleet.publish_list({fleet.now(),
+                        {{vm(2),
+                          {1},
+                          vm_network::make_member(vm(2)).control,
+                          vm_network::make_member(vm(2)).packets,
+                          list_state::live}}});
+    CHECK(fleet.run_until(5s, [&] { return fleet.converged(); }));
+}
+
+TEST_CASE("a restarted VM overrides the news of its former life")
+{
+    // Guards against a restart that stays dead because its first incarnation
+    // is not above the one that died.
+    vm_network fleet = make_converged_fleet(6, 9);
+    fleet.kill(vm(3));
+    REQUIRE(fleet.run_until(10s, [&]
+                            { return fleet.all_see(vm(3), liveness::dead); }));
+    fleet.start(vm(3));
+    fleet.publish_list();
+    CHECK(fleet.run_until(10s, [&] { return fleet.converged(); }));
+    CHECK(fleet.at(vm(3)).view().find(vm(3))->incarnation > 1);
+}
+
+TEST_CASE("a VM that leaves is seen as left, and its restart as alive")
+{
+    vm_network fleet = make_converged_fleet(12, 10);
+    fleet.shut_down(vm(4));
+    CHECK(fleet.run_until(5s, [&]
+                          { return fleet.all_see(vm(4), liveness::left); }));
+    CHECK_FALSE(fleet.at(vm(4)).may_open_flows(fleet.now()));
+    CHECK(fleet.at(vm(1)).possibly_alive({1}, fleet.now()).size() == 11);
+    fleet.kill(vm(4));
+    fleet.start(vm(4));
+    fleet.publish_list();
+    CHECK(fleet.run_until(10s, [&] { return fleet.converged(); }));
+}
+
+TEST_CASE("a partition heals without the list, whichever side is larger")
+{
+    // Guards against two sides that hold each other dead and never probe.
+    vm_network fleet = make_converged_fleet(12, 11);
+    for (std::uint32_t i = 1; i <= 4; ++i)
+    {
+        fleet.set_side(vm(i), 1);
+    }
+    fleet.run_for(30s);
+    CHECK(fleet.seen(vm(1), vm(9)) == liveness::dead);
+    CHECK(fleet.seen(vm(9), vm(1)) == liveness::dead);
+    CHECK(fleet.seen(vm(1), vm(2)) == liveness::alive);
+    fleet.heal();
+    CHECK(fleet.run_until(15s, [&] { return fleet.converged(); }));
+}
+
+TEST_CASE("a paused VM opens no flow until a peer acknowledges a new probe")
+{
+    // Guards against a holder that resumes with an old view while its standby
+    // holds its buckets. Acknowledgements held back during the pause must not
+    // count either.
+    vm_network fleet = make_converged_fleet(6, 12);
+    REQUIRE(fleet.at(vm(2)).may_open_flows(fleet.now()));
+    fleet.pause(vm(2));
+    fleet.run_for(10s);
+    CHECK_FALSE(fleet.at(vm(2)).may_open_flows(fleet.now()));
+    CHECK(fleet.seen(vm(1), vm(2)) == liveness::dead);
+    fleet.resume(vm(2));
+    CHECK_FALSE(fleet.at(vm(2)).may_open_flows(fleet.now()));
+    CHECK(fleet.run_until(
+        2s, [&] { return fleet.at(vm(2)).may_open_flows(fleet.now()); }));
+    CHECK(fleet.run_until(10s, [&] { return fleet.converged(); }));
+}
+
+TEST_CASE("a VM that is cut off opens no flow before the others bury it")
+{
+    // Guards against two holders of one bucket: the isolated VM must stop
+    // before its standby may take over.
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        vm_network fleet = make_converged_fleet(6, seed);
+        fleet.set_side(vm(5), 1);
+        const auto stopped = fleet.run_until(
+            5s, [&] { return !fleet.at(vm(5)).may_open_flows(fleet.now()); });
+        REQUIRE(stopped);
+        CHECK(*stopped <= 1100ms);
+        CHECK_FALSE(fleet.all_see(vm(5), liveness::dead));
+    }
+}
+
+TEST_CASE("a VM keeps opening flows while another one dies")
+{
+    // Guards against a gap in acknowledgements when the VM that was probed is
+    // the one that died.
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        vm_network fleet = make_converged_fleet(6, seed);
+        fleet.kill(vm(5));
+        const auto refused = fleet.run_until(
+            10s, [&] { return !fleet.at(vm(1)).may_open_flows(fleet.now()); });
+        CAPTURE(seed);
+        CHECK_FALSE(refused);
+    }
+}
+
+TEST_CASE("only a list that names no other VM lets a VM act alone")
+{
+    membership single({}, random_source(1));
+    single.start(vm_network::make_member(vm(1)));
+    const instant now{};
+    CHECK(single.tick(now).empty());
+    CHECK_FALSE(single.may_open_flows(now));
+    const listed_vm self{vm(1), {1}, {}, {}, list_state::live};
+    single.apply_vm_list({now, {self}}, now);
+    CHECK(single.may_open_flows(now));
+    CHECK_FALSE(single.may_open_flows(now + 1100ms));
+    single.apply_vm_list({now, {self, {vm(2), {1}, {}, {}}}}, now);
+    CHECK_FALSE(single.may_open_flows(now));
+    CHECK(single.view().find(vm(2))->state == liveness::dead);
+    CHECK(single.possibly_alive({1}, now) == std::vector{vm(1), vm(2)});
+    CHECK(single.listed_since() == now);
+}
+
+TEST_CASE("a dead VM that the list drops is forgotten, a listed one is not")
+{
+    // Guards against a table that grows with 140 failures a day.
+    vm_network fleet = make_converged_fleet(4, 13);
+    fleet.kill(vm(2));
+    fleet.run_for(400s);
+    CHECK(fleet.seen(vm(1), vm(2)) == liveness::dead);
+    CHECK(fleet.at(vm(1)).possibly_alive({1}, fleet.now()).size() == 4);
+    fleet.publish_list();
+    fleet.run_for(10s);
+    CHECK_FALSE(fleet.seen(vm(1), vm(2)));
+    CHECK(fleet.at(vm(1)).possibly_alive({1}, fleet.now()).size() == 3);
+}
+
+TEST_CASE("peers report the set version they have in effect")
+{
+    vm_network fleet = make_converged_fleet(3, 14);
+    CHECK(fleet.at(vm(1)).contact(vm(2))->in_effect == set_version{0});
+    CHECK(fleet.at(vm(1)).contact(vm(2))->last_acknowledged);
+    CHECK(fleet.at(vm(1)).introduced(fleet.now()));
+    CHECK_FALSE(fleet.at(vm(1)).contact(vm(9)));
+    membership peer({}, random_source(2));
+    peer.start(vm_network::make_member(vm(2)));
+    peer.set_in_effect({7});
+    const member joiner = vm_network::make_member(vm(3));
+    const auto answer =
+        peer.handle(vm(3),
+                    probe{5,
+                          {6},
+                          {{joiner.id, joiner.data_centre, joiner.control,
+                            joiner.packets, 1, liveness::alive}}},
+                    instant{});
+    REQUIRE(answer.size() == 1);
+    CHECK(std::get<probe_ack>(answer[0].content).nonce == 5);
+    CHECK(std::get<probe_ack>(answer[0].content).in_effect == set_version{7});
+    CHECK(peer.contact(vm(3))->in_effect == set_version{6});
+}
+
+TEST_CASE("the VM list parser accepts the documented form")
+{
+    const auto list = parse_vm_list(R"(
+[[vm]]
+id = 9
+data_centre = 2
+control = "127.0.0.9:7400"
+packets = "127.0.0.9:6080"
+state = "leaving"
+[[vm]]
+id = 7
+data_centre = 2
+control = "127.0.0.7:7400"
+packets = "127.0.0.7:6080"
+)",
+                                    instant{3s});
+    REQUIRE(list);
+    CHECK(list.value().read_at == instant{3s});
+    REQUIRE(list.value().vms.size() == 2);
+    CHECK(list.value().vms[0].id == vm(7));
+    CHECK(list.value().vms[1].state == list_state::leaving);
+}
+
+TEST_CASE("one bad entry refuses the whole VM list")
+{
+    // Guards against a truncated or misread list that looks like removals.
+    const std::string good = "[[vm]]\nid = 7\ndata_centre = 2\n"
+                             "control = \"127.0.0.7:7400\"\n"
+                             "packets = \"127.0.0.7:6080\"\n";
+    REQUIRE(parse_vm_list(good, {}));
+    for (const std::string& bad :
+         {std::string("x = "), std::string(), std::string("vm = 3"),
+          std::string("vm = [3]"), good + good, good + "state = \"gone\"\n",
+          good + "[[vm]]\nid = -1\n", good + "[[vm]]\nid = 4294967296\n",
+          good + "[[vm]]\nid = 8\ndata_centre = 2\ncontrol = \"x\"\n"})
+    {
+        CAPTURE(bad);
+        CHECK_FALSE(parse_vm_list(bad, {}));
+    }
+}
