--- /dev/null
+++ b/catkinkeel/link/internal/packed_lists.cpp
@@ -0,0 +1,333 @@
+#include "catkinkeel/link/internal/packed_lists.hpp"
+
+#include "catkinkeel/link/internal/byte_block.hpp"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace catkinkeel::internal
+{
+
+namespace
+{
+
+constexpr std::size_t address_width = 4;
+constexpr std::size_t port_width = 2;
+
+// Flags of a packed VM, above its state.
+constexpr std::uint8_t same_address_flag = 0x80;
+// Flags of a group of exceptions; bits 2 and 3 are the target's width - 1.
+constexpr std::uint8_t udp_flag = 0x01;
+constexpr std::uint8_t ended_flag = 0x02;
+constexpr unsigned width_shift = 2;
+
+void put_endpoint(block_writer& out, const endpoint& value)
+{
+    out.put(value.address.value, address_width);
+    out.put(value.port, port_width);
+}
+
+bool get_endpoint(block_reader& in, endpoint& into)
+{
+    return in.get(into.address.value) && in.get(into.port);
+}
+
+std::size_t width_of(std::uint32_t value)
+{
+    std::size_t width = 1;
+    while (width < 4 && (value >> (8 * width)) != 0)
+    {
+        ++width;
+    }
+    return width;
+}
+
+/// Maps small differences of either sign to small numbers.
+std::uint32_t zigzag(std::int32_t value)
+{
+    return (static_cast<std::uint32_t>(value) << 1U) ^
+           static_cast<std::uint32_t>(value >> 31);
+}
+
+std::int32_t unzigzag(std::uint32_t value)
+{
+    return static_cast<std::int32_t>(value >> 1U) ^
+           -static_cast<std::int32_t>(value & 1U);
+}
+
+bool get_news(block_reader& in, member_news& into)
+{
+    std::uint8_t flags = 0;
+    if (!in.get_varint(into.id.value) ||
+        !in.get_varint(into.data_centre.value) ||
+        !get_endpoint(in, into.control) || !in.get(flags))
+    {
+        return false;
+    }
+    const auto state = static_cast<std::uint8_t>(flags & ~same_address_flag);
+    if (state > static_cast<std::uint8_t>(liveness::left))
+    {
+        return false;
+    }
+    into.state = static_cast<liveness>(state);
+    into.packets.address = into.control.address;
+    return ((flags & same_address_flag) != 0 ||
+            in.get(into.packets.address.value)) &&
+           in.get(into.packets.port) && in.get_varint(into.incarnation);
+}
+
+/// Exceptions of one public address, in their order.
+struct exception_group
+{
+    public_address address;
+    std::vector<flow_exception> flows;
+};
+
+std::vector<exception_group>
+group_by_address(const std::vector<flow_exception>& list)
+{
+    std::vector<exception_group> groups;
+    for (const flow_exception& each : list)
+    {
+        const public_address address{each.key.service_side, each.key.transport};
+        auto group =
+            std::ranges::find(groups, address, &exception_group::address);
+        if (group == groups.end())
+        {
+            group = groups.insert(group, {address, {}});
+        }
+        group->flows.push_back(each);
+    }
+    return groups;
+}
+
+void put_group(block_writer& out, const exception_group& group)
+{
+    std::uint32_t largest = 0;
+    bool any_ended = false;
+    for (const flow_exception& each : group.flows)
+    {
+        largest = std::max(largest, each.target.value);
+        any_ended = any_ended || each.ended;
+    }
+    const std::size_t width = width_of(largest);
+    put_endpoint(out, group.address.where);
+    out.put((group.address.transport == protocol::udp ? udp_flag : 0U) |
+                (any_ended ? ended_flag : 0U) | ((width - 1) << width_shift),
+            1);
+    out.put_varint(group.flows.size());
+    for (const flow_exception& each : group.flows)
+    {
+        put_endpoint(out, each.key.caller);
+        out.put(each.target.value, width);
+    }
+    if (!any_ended)
+    {
+        return;
+    }
+    for (std::size_t first = 0; first < group.flows.size(); first += 8)
+    {
+        std::uint8_t bits = 0;
+        const std::size_t end = std::min(first + 8, group.flows.size());
+        for (std::size_t i = first; i < end; ++i)
+        {
+            bits |= static_cast<std::uint8_t>(
+                static_cast<unsigned>(group.flows[i].ended) << (i - first));
+        }
+        out.put(bits, 1);
+    }
+}
+
+bool get_ended(block_reader& in, std::span<flow_exception> flows)
+{
+    for (std::size_t first = 0; first < flows.size(); first += 8)
+    {
+        std::uint8_t bits = 0;
+        if (!in.get(bits))
+        {
+            return false;
+        }
+        const std::size_t end = std::min(first + 8, flows.size());
+        for (std::size_t i = first; i < end; ++i)
+        {
+            flows[i].ended = ((bits >> (i - first)) & 1U) != 0;
+        }
+    }
+    return true;
+}
+
+bool get_group(block_reader& in, std::vector<flow_exception>& list)
+{
+    endpoint where;
+    std::uint8_t flags = 0;
+    if (!get_endpoint(in, where) || !in.get(flags) || flags > 0x0fU)
+    {
+        return false;
+    }
+    const protocol transport =
+        (flags & udp_flag) != 0 ? protocol::udp : protocol::tcp;
+    const std::size_t width = (flags >> width_shift) + 1U;
+    std::size_t count = 0;
+    if (!in.get_count(count, address_width + port_width + width))
+    {
+        return false;
+    }
+    const std::size_t first = list.size();
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        flow_exception each;
+        each.key.service_side = where;
+        each.key.transport = transport;
+        if (!get_endpoint(in, each.key.caller) ||
+            !in.get(each.target.value, width))
+        {
+            return false;
+        }
+        list.push_back(each);
+    }
+    return (flags & ended_flag) == 0 ||
+           get_ended(in, std::span(list).subspan(first));
+}
+
+} // namespace
+
+byte_buffer pack_list(const std::vector<member_news>& list)
+{
+    block_writer out;
+    out.put_varint(list.size());
+    for (const member_news& each : list)
+    {
+        const bool same_address = each.control.address == each.packets.address;
+        out.put_varint(each.id.value);
+        out.put_varint(each.data_centre.value);
+        put_endpoint(out, each.control);
+        out.put(static_cast<std::uint8_t>(each.state) |
+                    (same_address ? same_address_flag : 0U),
+                1);
+        if (!same_address)
+        {
+            out.put(each.packets.address.value, address_width);
+        }
+        out.put(each.packets.port, port_width);
+        out.put_varint(each.incarnation);
+    }
+    return out.bytes();
+}
+
+bool unpack_list(byte_view block, std::vector<member_news>& list)
+{
+    constexpr std::size_t smallest_news = 12;
+    block_reader in(block);
+    std::size_t count = 0;
+    if (!in.get_count(count, smallest_news))
+    {
+        return false;
+    }
+    list.resize(count);
+    return std::ranges::all_of(list, [&](member_news& each)
+                               { return get_news(in, each); }) &&
+           in.at_end();
+}
+
+byte_buffer pack_list(const std::vector<bucket_id>& list)
+{
+    block_writer out;
+    out.put_varint(list.size());
+    std::int32_t previous = 0;
+    for (const bucket_id each : list)
+    {
+        out.put_varint(zigzag(each.value - previous));
+        previous = each.value;
+    }
+    return out.bytes();
+}
+
+bool unpack_list(byte_view block, std::vector<bucket_id>& list)
+{
+    block_reader in(block);
+    std::size_t count = 0;
+    if (!in.get_count(count, 1))
+    {
+        return false;
+    }
+    list.reserve(count);
+    std::int64_t previous = 0;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        std::uint32_t difference = 0;
+        if (!in.get_varint(difference))
+        {
+            return false;
+        }
+        previous += unzigzag(difference);
+        if (previous < 0 ||
+            previous > std::numeric_limits<std::uint16_t>::max())
+        {
+            return false;
+        }
+        list.push_back({static_cast<std::uint16_t>(previous)});
+    }
+    return in.at_end();
+}
+
+byte_buffer pack_list(const std::vector<weighted_target>& list)
+{
+    block_writer out;
+    out.put_varint(list.size());
+    for (const weighted_target& each : list)
+    {
+        out.put_varint(each.id.value);
+        out.put_varint(each.weight);
+    }
+    return out.bytes();
+}
+
+bool unpack_list(byte_view block, std::vector<weighted_target>& list)
+{
+    block_reader in(block);
+    std::size_t count = 0;
+    if (!in.get_count(count, 2))
+    {
+        return false;
+    }
+    list.resize(count);
+    return std::ranges::all_of(list,
+                               [&](weighted_target& each) {
+                                   return in.get_varint(each.id.value) &&
+                                          in.get_varint(each.weight);
+                               }) &&
+           in.at_end();
+}
+
+byte_buffer pack_list(const std::vector<flow_exception>& list)
+{
+    const auto groups = group_by_address(list);
+    block_writer out;
+    out.put_varint(groups.size());
+    for (const exception_group& group : groups)
+    {
+        put_group(out, group);
+    }
+    return out.bytes();
+}
+
+bool unpack_list(byte_view block, std::vector<flow_exception>& list)
+{
+    constexpr std::size_t smallest_group = 8;
+    block_reader in(block);
+    std::size_t groups = 0;
+    if (!in.get_count(groups, smallest_group))
+    {
+        return false;
+    }
+    for (std::size_t i = 0; i < groups; ++i)
+    {
+        if (!get_group(in, list))
+        {
+            return false;
+        }
+    }
+    return in.at_end();
+}
+
+} // namespace catkinkeel::internal
--- /dev/null
+++ b/catkinkeel/link/internal/wire_fields.hpp
@@ -0,0 +1,151 @@
+#pragma once
+
+// The fields of each type in the order in which format version 1 encodes them.
+// Changing a row changes the format.
+
+#include "catkinkeel/link/message.hpp"
+
+#include <tuple>
+
+namespace catkinkeel::internal
+{
+
+template <class T>
+struct wire_fields;
+
+template <>
+struct wire_fields<endpoint>
+{
+    static constexpr std::tuple members{&endpoint::address, &endpoint::port};
+};
+
+template <>
+struct wire_fields<public_address>
+{
+    static constexpr std::tuple members{&public_address::where,
+                                        &public_address::transport};
+};
+
+template <>
+struct wire_fields<base_override>
+{
+    static constexpr std::tuple members{
+        &base_override::address, &base_override::home, &base_override::service,
+        &base_override::targets};
+};
+
+template <>
+struct wire_fields<bucket_state>
+{
+    static constexpr std::tuple members{
+        &bucket_state::buckets, &bucket_state::overrides,
+        &bucket_state::uncertain, &bucket_state::exceptions};
+};
+
+template <>
+struct wire_fields<target_status>
+{
+    static constexpr std::tuple members{
+        &target_status::id,          &target_status::instance,
+        &target_status::draining,    &target_status::reachable,
+        &target_status::connections, &target_status::busy_slots,
+        &target_status::warm,        &target_status::sequence};
+};
+
+template <>
+struct wire_fields<probe>
+{
+    static constexpr std::tuple members{&probe::nonce, &probe::in_effect,
+                                        &probe::news};
+};
+
+template <>
+struct wire_fields<probe_ack>
+{
+    static constexpr std::tuple members{
+        &probe_ack::nonce, &probe_ack::in_effect, &probe_ack::news};
+};
+
+template <>
+struct wire_fields<probe_request>
+{
+    static constexpr std::tuple members{&probe_request::nonce,
+                                        &probe_request::about};
+};
+
+template <>
+struct wire_fields<leave>
+{
+    static constexpr std::tuple members{&leave::incarnation};
+};
+
+template <>
+struct wire_fields<replicate>
+{
+    static constexpr std::tuple members{
+        &replicate::session, &replicate::sequence, &replicate::in_effect,
+        &replicate::state};
+};
+
+template <>
+struct wire_fields<replicate_ack>
+{
+    static constexpr std::tuple members{&replicate_ack::session,
+                                        &replicate_ack::sequence};
+};
+
+template <>
+struct wire_fields<claim>
+{
+    static constexpr std::tuple members{&claim::session, &claim::round,
+                                        &claim::in_effect};
+};
+
+template <>
+struct wire_fields<handover>
+{
+    static constexpr std::tuple members{&handover::session,   &handover::round,
+                                        &handover::sequence,  &handover::last,
+                                        &handover::in_effect, &handover::state};
+};
+
+template <>
+struct wire_fields<handover_ack>
+{
+    static constexpr std::tuple members{
+        &handover_ack::session, &handover_ack::round, &handover_ack::sequence};
+};
+
+template <>
+struct wire_fields<chunk_request>
+{
+    static constexpr std::tuple members{
+        &chunk_request::version, &chunk_request::name,
+        &chunk_request::content_hash, &chunk_request::offset};
+};
+
+template <>
+struct wire_fields<chunk_part>
+{
+    static constexpr std::tuple members{
+        &chunk_part::version, &chunk_part::name,  &chunk_part::content_hash,
+        &chunk_part::offset,  &chunk_part::total, &chunk_part::text};
+};
+
+template <>
+struct wire_fields<target_news>
+{
+    static constexpr std::tuple members{&target_news::changes};
+};
+
+template <class T>
+concept described = requires
+{
+    wire_fields<T>::members;
+};
+
+template <described T>
+inline constexpr std::size_t field_count =
+    std::tuple_size_v<std::remove_cvref_t<decltype(wire_fields<T>::members)>>;
+
+} // namespace catkinkeel::internal
