--- a/catkinkeel/link/byte_budget.cpp
+++ b/catkinkeel/link/byte_budget.cpp
@@ -40,23 +40,23 @@
     return std::min(scaled(payload + header_cost), scaled(terms_.burst));
 }
 
-bool byte_budget::try_spend(byte_count payload, message_priority priority,
-                            instant now)
+bool byte_budget::allows(byte_count payload, message_priority priority,
+                         instant now)
 {
     const std::int64_t level = level_at(now);
     const bool allowed = priority == message_priority::urgent
                              ? level > -scaled(terms_.urgent_debt)
                              : level >= needed(payload);
-    if (!allowed)
-    {
-        ++refused_;
-        return false;
-    }
+    refused_ += allowed ? 0 : 1;
+    return allowed;
+}
+
+void byte_budget::spend(byte_count payload, instant now)
+{
     const byte_count cost = payload + header_cost;
-    level_ = level - scaled(cost);
+    level_ = level_at(now) - scaled(cost);
     filled_at_ = filled_at_ ? std::max(now, *filled_at_) : now;
     spent_ = spent_ + cost;
-    return true;
 }
 
 instant byte_budget::earliest(byte_count payload, instant now) const
--- a/catkinkeel/link/byte_budget.hpp
+++ b/catkinkeel/link/byte_budget.hpp
@@ -34,8 +34,11 @@
 public:
     explicit byte_budget(budget_terms terms = {}) : terms_(terms) {}
 
-    /// Charges a message and returns true if it may be sent now.
-    bool try_spend(byte_count payload, message_priority priority, instant now);
+    /// Whether a message may be sent now. A refusal is counted.
+    bool allows(byte_count payload, message_priority priority, instant now);
+
+    /// Charges a message that was sent.
+    void spend(byte_count payload, instant now);
 
     /// When a normal message of this size may be sent if nothing else is.
     [[nodiscard]] instant earliest(byte_count payload, instant now) const;
--- a/catkinkeel/link/internal/packed_lists.cpp
+++ b/catkinkeel/link/internal/packed_lists.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <map>
+#include <utility>
 
 namespace catkinkeel::internal
 {
@@ -20,6 +22,12 @@
 constexpr std::uint8_t udp_flag = 0x01;
 constexpr std::uint8_t ended_flag = 0x02;
 constexpr unsigned width_shift = 2;
+constexpr std::uint8_t width_mask = 0x03;
+// The port is that of the previous group.
+constexpr std::uint8_t same_port_flag = 0x10;
+// The group has one flow and no count.
+constexpr std::uint8_t single_flag = 0x20;
+constexpr std::uint8_t all_group_flags = 0x3f;
 
 void put_endpoint(block_writer& out, const endpoint& value)
 {
@@ -83,25 +91,25 @@
     std::vector<flow_exception> flows;
 };
 
+/// Ordered by address, so that the differences are small.
 std::vector<exception_group>
 group_by_address(const std::vector<flow_exception>& list)
 {
-    std::vector<exception_group> groups;
+    std::map<public_address, std::vector<flow_exception>> by_address;
     for (const flow_exception& each : list)
     {
-        const public_address address{each.key.service_side, each.key.transport};
-        auto group =
-            std::ranges::find(groups, address, &exception_group::address);
-        if (group == groups.end())
-        {
-            group = groups.insert(group, {address, {}});
-        }
-        group->flows.push_back(each);
+        by_address[{each.key.service_side, each.key.transport}].push_back(each);
+    }
+    std::vector<exception_group> groups;
+    for (auto& [address, flows] : by_address)
+    {
+        groups.push_back({address, std::move(flows)});
     }
     return groups;
 }
 
-void put_group(block_writer& out, const exception_group& group)
+void put_group(block_writer& out, const exception_group& group,
+               const endpoint& previous)
 {
     std::uint32_t largest = 0;
     bool any_ended = false;
@@ -111,11 +119,22 @@
         any_ended = any_ended || each.ended;
     }
     const std::size_t width = width_of(largest);
-    put_endpoint(out, group.address.where);
+    const endpoint& where = group.address.where;
+    const bool same_port = where.port == previous.port;
+    const bool single = group.flows.size() == 1;
     out.put((group.address.transport == protocol::udp ? udp_flag : 0U) |
-                (any_ended ? ended_flag : 0U) | ((width - 1) << width_shift),
+                (any_ended ? ended_flag : 0U) | ((width - 1) << width_shift) |
+                (same_port ? same_port_flag : 0U) | (single ? single_flag : 0U),
             1);
-    out.put_varint(group.flows.size());
+    out.put_varint(where.address.value - previous.address.value);
+    if (!same_port)
+    {
+        out.put(where.port, port_width);
+    }
+    if (!single)
+    {
+        out.put_varint(group.flows.size());
+    }
     for (const flow_exception& each : group.flows)
     {
         put_endpoint(out, each.key.caller);
@@ -156,19 +175,27 @@
     return true;
 }
 
-bool get_group(block_reader& in, std::vector<flow_exception>& list)
+/// `where` is the previous group's endpoint and becomes this group's.
+bool get_group(block_reader& in, endpoint& where,
+               std::vector<flow_exception>& list)
 {
-    endpoint where;
     std::uint8_t flags = 0;
-    if (!get_endpoint(in, where) || !in.get(flags) || flags > 0x0fU)
+    std::uint32_t difference = 0;
+    if (!in.get(flags) || flags > all_group_flags ||
+        !in.get_varint(difference) ||
+        difference >
+            std::numeric_limits<std::uint32_t>::max() - where.address.value ||
+        ((flags & same_port_flag) == 0 && !in.get(where.port)))
     {
         return false;
     }
+    where.address.value += difference;
     const protocol transport =
         (flags & udp_flag) != 0 ? protocol::udp : protocol::tcp;
-    const std::size_t width = (flags >> width_shift) + 1U;
-    std::size_t count = 0;
-    if (!in.get_count(count, address_width + port_width + width))
+    const std::size_t width = ((flags >> width_shift) & width_mask) + 1U;
+    std::size_t count = 1;
+    if ((flags & single_flag) == 0 &&
+        !in.get_count(count, address_width + port_width + width))
     {
         return false;
     }
@@ -304,17 +331,20 @@
     const auto groups = group_by_address(list);
     block_writer out;
     out.put_varint(groups.size());
+    endpoint previous;
     for (const exception_group& group : groups)
     {
-        put_group(out, group);
+        put_group(out, group, previous);
+        previous = group.address.where;
     }
     return out.bytes();
 }
 
 bool unpack_list(byte_view block, std::vector<flow_exception>& list)
 {
-    constexpr std::size_t smallest_group = 8;
+    constexpr std::size_t smallest_group = 3;
     block_reader in(block);
+    endpoint where;
     std::size_t groups = 0;
     if (!in.get_count(groups, smallest_group))
     {
@@ -322,7 +352,7 @@
     }
     for (std::size_t i = 0; i < groups; ++i)
     {
-        if (!get_group(in, list))
+        if (!get_group(in, where, list))
         {
             return false;
         }
--- a/catkinkeel/link/internal/packed_lists.hpp
+++ b/catkinkeel/link/internal/packed_lists.hpp
@@ -22,8 +22,10 @@
 [[nodiscard]] bool unpack_list(byte_view block,
                                std::vector<weighted_target>& list);
 
-/// Grouped by public address: 6 bytes of caller and 1 to 4 bytes of target a
-/// flow, 8 to 9 bytes a group, and one bit a flow in groups with ended flows.
+/// Grouped and ordered by public address: 6 bytes of caller and 1 to 4 bytes of
+/// target a flow, 2 to 9 bytes a group (2 for a single flow to an address near
+/// the previous one with the same port), and one bit a flow in groups with
+/// ended flows.
 byte_buffer pack_list(const std::vector<flow_exception>& list);
 [[nodiscard]] bool unpack_list(byte_view block,
                                std::vector<flow_exception>& list);
--- a/catkinkeel/link/transport.cpp
+++ b/catkinkeel/link/transport.cpp
@@ -176,7 +176,7 @@
     {
         return send_result::unknown_peer;
     }
-    if (!budget_.try_spend(size, priority_of(outgoing.content), now))
+    if (!budget_.allows(size, priority_of(outgoing.content), now))
     {
         ++counts_.over_budget;
         return send_result::over_budget;
@@ -187,8 +187,16 @@
         return send_result::queue_full;
     }
     const auto sealed = sessions_.seal(outgoing.peer, body);
-    return sealed ? push(*line, *sealed)
-                  : hold(*line, outgoing.peer, std::move(body), now);
+    const send_result result =
+        sealed ? push(*line, *sealed)
+               : hold(*line, outgoing.peer, std::move(body), now);
+    // A message that a full queue refused costs nothing, or an unreachable
+    // peer would use up the budget of the others.
+    if (result == send_result::sent || result == send_result::held)
+    {
+        budget_.spend(size, now);
+    }
+    return result;
 }
 
 send_result transport::hold(peer_line& line, vm_id to, byte_buffer body,
@@ -209,10 +217,18 @@
 
 void transport::say_hello(peer_line& line, vm_id to, instant now)
 {
-    if (budget_.try_spend({envelope_size}, message_priority::urgent, now))
+    line.hello_at = now;
+    push_urgent(line, sessions_.seal_hello(to));
+}
+
+// Sends a frame that carries no message, if the budget allows.
+void transport::push_urgent(const peer_line& line, const byte_buffer& bytes)
+{
+    const byte_count size{bytes.size()};
+    if (budget_.allows(size, message_priority::urgent, now_) &&
+        push(line, bytes) == send_result::sent)
     {
-        line.hello_at = now;
-        push(line, sessions_.seal_hello(to));
+        budget_.spend(size, now_);
     }
 }
 
@@ -328,11 +344,9 @@
     {
         return;
     }
-    peer_line* const line = line_to(to);
-    if (line != nullptr &&
-        budget_.try_spend({welcome.size()}, message_priority::urgent, now_))
+    if (peer_line* const line = line_to(to))
     {
-        push(*line, welcome);
+        push_urgent(*line, welcome);
     }
 }
 
--- a/catkinkeel/link/transport.hpp
+++ b/catkinkeel/link/transport.hpp
@@ -132,6 +132,7 @@
     void flush_held(vm_id to);
     send_result hold(peer_line& line, vm_id to, byte_buffer body, instant now);
     void say_hello(peer_line& line, vm_id to, instant now);
+    void push_urgent(const peer_line& line, const byte_buffer& bytes);
     send_result push(const peer_line& line, const byte_buffer& bytes);
     peer_line* line_to(vm_id id);
     void close_least_used();
--- a/catkinkeel/vm/membership.cpp
+++ b/catkinkeel/vm/membership.cpp
@@ -166,37 +166,34 @@
 }
 
 // Probes listed VMs that were never contacted, some in each period, and one
-// dead VM in each rejoin period.
+// dead VM in each rejoin period. Both are chosen at random: in order of their
+// identifiers, all VMs of one side of a healed partition would probe the same
+// VM of the other.
 void membership::probe_absent(instant now, vm_outbox& out)
 {
-    std::size_t first_contacts = 0;
-    peer* longest_untried = nullptr;
-    for (auto& [id, known] : peers_)
+    std::vector<vm_id> untried;
+    std::vector<vm_id> dead;
+    for (const auto& [id, known] : peers_)
     {
-        if (known.about.state != liveness::dead)
-        {
-            continue;
-        }
-        if (!known.last_tried && known.about.incarnation == 0)
-        {
-            if (first_contacts < settings_.first_contacts)
-            {
-                ++first_contacts;
-                send_probe(id, now, out, new_nonce());
-            }
-        }
-        else if (longest_untried == nullptr ||
-                 known.last_tried < longest_untried->last_tried)
+        if (known.about.state == liveness::dead)
         {
-            longest_untried = &known;
+            const bool first =
+                known.about.incarnation == 0 && !known.last_tried;
+            (first ? untried : dead).push_back(id);
         }
     }
+    shuffle(untried);
+    untried.resize(std::min(untried.size(), settings_.first_contacts));
+    for (const vm_id id : untried)
+    {
+        send_probe(id, now, out, new_nonce());
+    }
     if (now >= next_rejoin_)
     {
         next_rejoin_ = now + settings_.rejoin_period;
-        if (longest_untried != nullptr)
+        if (!dead.empty())
         {
-            send_probe(longest_untried->about.id, now, out, new_nonce());
+            send_probe(dead[random_.below(dead.size())], now, out, new_nonce());
         }
     }
 }
--- a/catkinkeel/vm/membership.hpp
+++ b/catkinkeel/vm/membership.hpp
@@ -56,7 +56,7 @@
     /// Listed VMs never contacted before that are probed in one probe period.
     std::size_t first_contacts = 4;
     /// News in one message; a news takes about 12 to 20 bytes.
-    std::size_t news_per_message = 8;
+    std::size_t news_per_message = 12;
     /// News in the first answer to a VM that joins or returns.
     std::size_t news_per_introduction = 32;
     /// At most one introduction is sent in this period, which bounds its cost
--- a/catkinkeel/vm/membership_news.cpp
+++ b/catkinkeel/vm/membership_news.cpp
@@ -190,7 +190,6 @@
     if (of.about.state != state)
     {
         of.since = now;
-        of.last_tried.reset();
     }
     of.about.state = state;
     queue_.add(of.about.id);
