--- /dev/null
+++ b/catkinkeel/packet/internal/packet_batch_storage.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "catkinkeel/packet/packet_batch.hpp"
+
+#include <array>
+#include <cstddef>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+namespace catkinkeel
+{
+
+/// Buffers and the headers that point into them, laid out for `recvmmsg`.
+struct packet_batch::storage
+{
+    std::array<mmsghdr, batch_capacity> headers;
+    std::array<iovec, batch_capacity> vectors;
+    std::array<sockaddr_in, batch_capacity> senders;
+    std::array<received_datagram, batch_capacity> datagrams;
+    std::size_t size = 0;
+    std::array<std::array<std::byte, packet_capacity>, batch_capacity> buffers;
+};
+
+} // namespace catkinkeel
