--- a/bench/forward_bench.cpp
+++ b/bench/forward_bench.cpp
@@ -105,6 +105,7 @@
         packets.push_back(make_packet(i));
     }
     std::vector<outgoing> batch;
+    batch.reserve(packets.size());
     for (const auto& packet : packets)
     {
         batch.push_back(encapsulate_for_target(to, {packet}));
--- a/catkinkeel/packet/refusal.cpp
+++ b/catkinkeel/packet/refusal.cpp
@@ -90,19 +90,19 @@
 
 std::optional<refusal_packet> refuse_packet(const parsed_packet& parsed)
 {
-    const std::span<const std::byte> packet = parsed.packet.bytes;
-    std::optional<refusal_packet> refusal;
-    if (parsed.facts.phase == flow_phase::opening)
-    {
-        const auto ip = internal::load<iphdr>(packet);
-        refusal.emplace().size_ = write_reset(
-            ip, packet.subspan(ip.ihl * bytes_per_word), refusal->storage_);
-    }
-    else if (parsed.facts.phase == flow_phase::datagram)
+    const flow_phase phase = parsed.facts.phase;
+    if (phase != flow_phase::opening && phase != flow_phase::datagram)
     {
-        refusal.emplace().size_ = write_unreachable(
-            internal::load<iphdr>(packet), packet, refusal->storage_);
+        return std::nullopt;
     }
+    const std::span<const std::byte> packet = parsed.packet.bytes;
+    const auto ip = internal::load<iphdr>(packet);
+    refusal_packet refusal;
+    refusal.size_ =
+        phase == flow_phase::opening
+            ? write_reset(ip, packet.subspan(ip.ihl * bytes_per_word),
+                          refusal.storage_)
+            : write_unreachable(ip, packet, refusal.storage_);
     return refusal;
 }
 
