--- a/catkinkeel/target/steward.cpp
+++ b/catkinkeel/target/steward.cpp
@@ -50,9 +50,10 @@
                                });
 }
 
-bool listed_for_long(const steward_view& view, instant now)
+bool listed_for_long(const steward_view& view, const steward_bounds& bounds,
+                     instant now)
 {
-    return view.listed_since && now - *view.listed_since >= listed_long_enough;
+    return view.listed_since && now - *view.listed_since >= bounds.listed_for;
 }
 
 } // namespace
@@ -73,44 +74,30 @@
                         { return vm.data_centre == zone && vm.alive; });
 }
 
-bool may_act_by_either_condition(const steward_view& view, instant now)
+bool may_act_by_either_condition(const steward_view& view,
+                                 const steward_bounds& bounds, instant now)
 {
     const bool knows_all =
-        within(view.list_as_of, oldest_list, now) ||
-        all_others(view, [now](const possibly_alive_vm& vm)
-                   { return within(vm.heard, oldest_list, now); });
-    return knows_all && (listed_for_long(view, now) ||
+        within(view.list_as_of, bounds.list_age, now) ||
+        all_others(view, [&](const possibly_alive_vm& vm)
+                   { return within(vm.heard, bounds.list_age, now); });
+    return knows_all && (listed_for_long(view, bounds, now) ||
                          all_others(view, [](const possibly_alive_vm& vm)
                                     { return vm.acknowledged.has_value(); }));
 }
 
-bool may_act_as_steward(const steward_view& view, instant now)
+bool may_act_as_steward(const steward_view& view, const steward_bounds& bounds,
+                        instant now)
 {
-    if (!within(view.list_as_of, oldest_list, now))
-    {
-        return false;
-    }
-    if (listed_for_long(view, now))
-    {
-        return true;
-    }
-    // A listed VM is common to all agreeing sets, so two sets that do not
-    // contain each other's VM cannot both be agreed on.
-    return std::ranges::any_of(view.possibly_alive,
-                               [&](const possibly_alive_vm& vm)
-                               {
-                                   return vm.id != view.self && vm.listed &&
-                                          vm.data_centre == view.data_centre;
-                               }) &&
-           all_others(view, [now](const possibly_alive_vm& vm)
-                      { return within(vm.agreed, oldest_agreement, now); });
+    return within(view.list_as_of, bounds.list_age, now) &&
+           listed_for_long(view, bounds, now);
 }
 
 double steward_rule::part(const target& which, std::optional<vm_id> steward,
                           const steward_view& view, instant now) const
 {
     return which.data_centre == view.data_centre && steward == view.self &&
-                   may_act_(view, now)
+                   may_act_(view, bounds_, now)
                ? 1.0
                : 0.0;
 }
--- a/catkinkeel/target/steward.hpp
+++ b/catkinkeel/target/steward.hpp
@@ -8,6 +8,7 @@
 #include "catkinkeel/base/time.hpp"
 #include "catkinkeel/contract/objects.hpp"
 
+#include <compare>
 #include <optional>
 #include <span>
 #include <vector>
@@ -23,17 +24,12 @@
 {
     vm_id id;
     data_centre_id data_centre;
-    /// Whether the list that this VM holds names it.
-    bool listed = false;
     /// Whether it counts as alive for ownership (not declared dead).
     bool alive = false;
     /// When a message from it was last received.
     std::optional<instant> heard;
     /// When it last acknowledged this VM.
     std::optional<instant> acknowledged;
-    /// When it last stated the same set of possibly alive VMs of the data
-    /// centre as this VM's. Cleared when this VM's set changes.
-    std::optional<instant> agreed;
 
     friend bool operator==(const possibly_alive_vm&,
                            const possibly_alive_vm&) = default;
@@ -55,12 +51,20 @@
     friend bool operator==(const steward_view&, const steward_view&) = default;
 };
 
-inline constexpr duration oldest_list = 30s;
-/// Longer than `oldest_list`, so that each VM with a valid list knows of this
-/// one; 5 s cover clocks that run at different rates and messages under way.
-inline constexpr duration listed_long_enough = 35s;
-/// Shorter than the 60 s for which a VM that was heard stays possibly alive.
-inline constexpr duration oldest_agreement = 30s;
+/// Bounds of the steward rule. They may be lowered together where the
+/// platform's list is known to lag less.
+struct steward_bounds
+{
+    /// Oldest content of a list with which a VM may act.
+    duration list_age = 30s;
+    /// Longer than `list_age`, so that each VM that may act knows of this one;
+    /// 5 s cover clocks that run at different rates and the time between a
+    /// decision and its packet.
+    duration listed_for = 35s;
+
+    friend auto operator<=>(const steward_bounds&,
+                            const steward_bounds&) = default;
+};
 
 /// First by rendezvous hash of `vms` in `zone`; empty if there is none.
 std::optional<vm_id> steward_of(target_id which, data_centre_id zone,
@@ -72,13 +76,16 @@
 
 /// The conditions of section 5.7 of the design page, as written there. They do
 /// not exclude two stewards (docs/model.md, cold start): a VM with an old list
-/// that hears every VM it knows does not know of one that was listed since.
-bool may_act_by_either_condition(const steward_view& view, instant now);
+/// that hears every VM it knows does not know of one that was listed since, and
+/// a VM that has restarted no longer knows whom it acknowledged.
+bool may_act_by_either_condition(const steward_view& view,
+                                 const steward_bounds& bounds, instant now);
 
-/// Conditions that exclude two stewards: the list is at most 30 s old, and the
-/// VM has been listed for 35 s, or the list names another VM of the data centre
-/// and every possibly alive VM there agreed within 30 s on which these are.
-bool may_act_as_steward(const steward_view& view, instant now);
+/// Conditions that exclude two stewards: the list is young enough and every
+/// list of the last 35 s named this VM. They need no memory of an earlier
+/// process.
+bool may_act_as_steward(const steward_view& view, const steward_bounds& bounds,
+                        instant now);
 
 /// Decides how much of a cold target's ramp limit this VM may use.
 class cold_start_rule
@@ -99,10 +106,12 @@
 class steward_rule final : public cold_start_rule
 {
 public:
-    using condition = bool (*)(const steward_view&, instant);
+    using condition = bool (*)(const steward_view&, const steward_bounds&,
+                               instant);
 
-    explicit steward_rule(condition may_act = &may_act_as_steward)
-        : may_act_(may_act)
+    explicit steward_rule(const steward_bounds& bounds = {},
+                          condition may_act = &may_act_as_steward)
+        : bounds_(bounds), may_act_(may_act)
     {
     }
 
@@ -111,6 +120,7 @@
                               instant now) const override;
 
 private:
+    steward_bounds bounds_;
     condition may_act_;
 };
 
