--- /dev/null
+++ b/catkinkeel/base/text_table.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+// A table of text cells, printed as Markdown for the pages that are generated
+// from code and as aligned columns for a terminal.
+
+#include <algorithm>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace catkinkeel
+{
+
+/// Rows may be shorter than the header; missing cells print empty.
+struct text_table
+{
+    std::vector<std::string> header;
+    std::vector<std::vector<std::string>> rows;
+
+    friend bool operator==(const text_table&, const text_table&) = default;
+};
+
+/// Number of code points of UTF-8 text.
+inline std::size_t text_width(std::string_view text)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        text, [](char c)
+        { return (static_cast<unsigned char>(c) & 0xc0U) != 0x80U; }));
+}
+
+/// Markdown table. A "|" in a cell is escaped, a line break becomes a space.
+inline std::string to_markdown(const text_table& table)
+{
+    const auto line =
+        [&table](const std::vector<std::string>& cells, bool escape)
+    {
+        std::string text = "|";
+        for (std::size_t i = 0; i < table.header.size(); ++i)
+        {
+            text += ' ';
+            for (const char c : i < cells.size() ? cells[i] : std::string())
+            {
+                if (escape && c == '|')
+                {
+                    text += '\\';
+                }
+                text += c == '\n' ? ' ' : c;
+            }
+            text += " |";
+        }
+        return text + "\n";
+    };
+    std::string text = line(table.header, true);
+    text += line(std::vector<std::string>(table.header.size(), "---"), false);
+    for (const auto& row : table.rows)
+    {
+        text += line(row, true);
+    }
+    return text;
+}
+
+/// Columns aligned by spaces, two between columns, none at line ends.
+inline std::string to_plain_text(const text_table& table)
+{
+    std::vector<std::size_t> widths(table.header.size(), 0);
+    const auto measure = [&widths](const std::vector<std::string>& cells)
+    {
+        for (std::size_t i = 0; i < std::min(widths.size(), cells.size()); ++i)
+        {
+            widths[i] = std::max(widths[i], text_width(cells[i]));
+        }
+    };
+    measure(table.header);
+    std::ranges::for_each(table.rows, measure);
+
+    std::string text;
+    const auto print = [&](const std::vector<std::string>& cells)
+    {
+        std::string line;
+        for (std::size_t i = 0; i < std::min(widths.size(), cells.size()); ++i)
+        {
+            line += cells[i];
+            line.append(widths[i] - text_width(cells[i]) + 2, ' ');
+        }
+        line.erase(line.find_last_not_of(' ') + 1);
+        text += line + "\n";
+    };
+    print(table.header);
+    std::ranges::for_each(table.rows, print);
+    return text;
+}
+
+} // namespace catkinkeel
--- /dev/null
+++ b/catkinkeel/event/event_log.cpp
@@ -0,0 +1,135 @@
+#include "catkinkeel/event/event_log.hpp"
+
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/attributes/value_extraction.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/make_shared.hpp>
+
+#include <iostream>
+#include <utility>
+
+namespace catkinkeel
+{
+
+namespace
+{
+
+using ostream_frontend = boost::log::sinks::synchronous_sink<
+    boost::log::sinks::text_ostream_backend>;
+
+duration period_of(const event_definition& definition)
+{
+    return std::chrono::seconds(definition.log_period);
+}
+
+} // namespace
+
+struct boost_log_sink::implementation
+{
+    log_format format;
+    boost::shared_ptr<ostream_frontend> frontend;
+    boost::log::sources::severity_logger<severity> logger;
+};
+
+boost_log_sink::boost_log_sink(std::ostream& stream, log_format format,
+                               severity least)
+    : implementation_(std::make_unique<implementation>())
+{
+    namespace expressions = boost::log::expressions;
+    const auto backend =
+        boost::make_shared<boost::log::sinks::text_ostream_backend>();
+    backend->add_stream(
+        boost::shared_ptr<std::ostream>(&stream, boost::null_deleter()));
+    backend->auto_flush(true);
+
+    implementation_->format = format;
+    implementation_->frontend = boost::make_shared<ostream_frontend>(backend);
+    implementation_->frontend->set_formatter(expressions::stream
+                                             << expressions::smessage);
+    implementation_->frontend->set_filter(
+        [least](const boost::log::attribute_value_set& values)
+        {
+            const auto level =
+                boost::log::extract<severity>("Severity", values);
+            return level && level.get() >= least;
+        });
+    boost::log::core::get()->add_sink(implementation_->frontend);
+}
+
+boost_log_sink::~boost_log_sink()
+{
+    boost::log::core::get()->remove_sink(implementation_->frontend);
+}
+
+std::unique_ptr<event_sink> boost_log_sink::to_stderr(log_format format,
+                                                      severity least)
+{
+    return std::make_unique<boost_log_sink>(std::cerr, format, least);
+}
+
+void boost_log_sink::write(const event_record& record, std::uint64_t suppressed)
+{
+    const event_definition* definition = find_event(record.number);
+    const severity level =
+        definition != nullptr ? definition->level : severity::error;
+    BOOST_LOG_SEV(implementation_->logger, level)
+        << render_line(record, implementation_->format, suppressed);
+}
+
+event_log::event_log(std::unique_ptr<event_sink> sink,
+                     std::size_t audit_capacity)
+    : sink_(std::move(sink)),
+      repeats_(event_catalogue().size()),
+      audit_(audit_capacity)
+{
+}
+
+void event_log::report(const event_record& record, instant now,
+                       const change_origin& origin)
+{
+    audit_.add(record, origin);
+    const std::scoped_lock lock(mutex_);
+    const event_definition* definition = find_event(record.number);
+    if (definition == nullptr)
+    {
+        sink_->write(record, 0);
+        return;
+    }
+    repeat_state& state = repeats_[static_cast<std::size_t>(
+        definition - event_catalogue().data())];
+    const repeat_step step = step_repeat(state, period_of(*definition), now);
+    state = step.next;
+    if (step.log)
+    {
+        sink_->write(record, step.suppressed);
+    }
+}
+
+void event_log::report_suppressed(wall_time at, instant now)
+{
+    const std::scoped_lock lock(mutex_);
+    for (std::size_t i = 0; i < repeats_.size(); ++i)
+    {
+        const event_definition& definition = event_catalogue()[i];
+        const std::uint64_t suppressed = repeats_[i].suppressed;
+        if (suppressed == 0 ||
+            now - *repeats_[i].logged < period_of(definition))
+        {
+            continue;
+        }
+        repeats_[i] = {};
+        sink_->write({.number = event_number::events_suppressed,
+                      .at = at,
+                      .fields = {field("number", static_cast<unsigned>(
+                                                     definition.number)),
+                                 field("count", suppressed)}},
+                     0);
+    }
+}
+
+} // namespace catkinkeel
--- /dev/null
+++ b/catkinkeel/event/event_test.cpp
@@ -0,0 +1,223 @@
+#include "catkinkeel/event/event_log.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+#include <thread>
+
+using namespace catkinkeel;
+
+namespace
+{
+
+const wall_time start{std::chrono::milliseconds{1'796'381'991'007}};
+
+event_record dropped(std::uint64_t count)
+{
+    return {event_number::packets_dropped,
+            start,
+            {field("count", count), field("reason", "hop_limit")}};
+}
+
+event_record joined(unsigned vm)
+{
+    return {
+        event_number::member_joined,
+        start,
+        {field("vm", vm), field("data_centre", 1), field("incarnation", 0)}};
+}
+
+struct recording_sink : event_sink
+{
+    std::vector<std::pair<event_record, std::uint64_t>>* written;
+
+    explicit recording_sink(
+        std::vector<std::pair<event_record, std::uint64_t>>& to)
+        : written(&to)
+    {
+    }
+    void write(const event_record& record, std::uint64_t suppressed) override
+    {
+        written->emplace_back(record, suppressed);
+    }
+};
+
+} // namespace
+
+TEST_CASE("the catalogue has no duplicate number or name and no empty text")
+{
+    std::set<event_number> numbers;
+    std::set<std::string_view> names;
+    for (const event_definition& row : event_catalogue())
+    {
+        INFO(row.name);
+        CHECK(numbers.insert(row.number).second);
+        CHECK(names.insert(row.name).second);
+        CHECK(static_cast<unsigned>(row.number) / 1000 >= 1);
+        CHECK(static_cast<unsigned>(row.number) / 1000 <= 8);
+        CHECK_FALSE(row.text.empty());
+        CHECK_FALSE(row.action.empty());
+        CHECK(find_event(row.number) == &row);
+    }
+    CHECK(find_event(static_cast<event_number>(999)) == nullptr);
+    CHECK(find_event(static_cast<event_number>(9999)) == nullptr);
+}
+
+TEST_CASE("the page of events says what the code does")
+{
+    std::ifstream file(CATKINKEEL_SOURCE_DIR "/docs/events.md");
+    std::ostringstream page;
+    page << file.rdbuf();
+    CHECK(page.str() == events_markdown());
+}
+
+TEST_CASE("a field that the emitting code forgot is reported and visible")
+{
+    const event_record record{
+        event_number::member_dead, start, {field("vm", 7)}};
+    CHECK(missing_fields(record) == std::vector<std::string>{"data_centre"});
+    CHECK(render_text(record) == "VM 7 of data centre ? is declared dead");
+}
+
+TEST_CASE("a wall time survives printing and parsing")
+{
+    CHECK(to_string(start) == "2026-12-04T10:59:51.007Z");
+    const bool holds = rc::check(
+        []
+        {
+            const wall_time time{std::chrono::milliseconds{
+                *rc::gen::inRange<std::int64_t>(0, 253'402'300'800'000)}};
+            RC_ASSERT(parse_wall_time(to_string(time)) ==
+                      outcome<wall_time>{time});
+        });
+    CHECK(holds);
+    for (const char* text :
+         {"", "2026-12-04", "2026-02-30T10:59:51.007Z",
+          "2026-12-04T24:59:51.007Z", "2026-12-04T10:59:51.007z",
+          "x026-12-04T10:59:51.007Z", "1969-12-04T10:59:51.007Z"})
+    {
+        INFO(text);
+        CHECK_FALSE(parse_wall_time(text));
+    }
+}
+
+TEST_CASE("text from the network can't forge a log line or a field")
+{
+    const bool holds = rc::check(
+        [](const std::string& value)
+        {
+            const event_record record{event_number::operators_request_refused,
+                                      start,
+                                      {field("path", value),
+                                       field("caller", "127.0.0.1:1"),
+                                       field("reason", "unknown path")}};
+            const std::string text = render_line(record, log_format::key_value);
+            RC_ASSERT(text.find('\n') == std::string::npos);
+            const std::string line = render_line(record, log_format::json, 3);
+            RC_ASSERT(line.find('\n') == std::string::npos);
+            const auto parsed = nlohmann::json::parse(line, nullptr, false);
+            RC_ASSERT(!parsed.is_discarded());
+            RC_ASSERT(parsed["suppressed"] == 3);
+            RC_ASSERT(parsed["fields"]["caller"] == "127.0.0.1:1");
+        });
+    CHECK(holds);
+    CHECK(render_line({event_number::operators_request_refused,
+                       start,
+                       {field("path", "/x severity=critical"),
+                        field("caller", ""), field("reason", "a\nb")}},
+                      log_format::key_value) ==
+          "time=2026-12-04T10:59:51.007Z event=8003 "
+          "name=operators_request_refused severity=info "
+          "path=\"/x severity=critical\" caller=\"\" reason=\"a\\nb\" "
+          "text=\"request /x severity=critical from  refused: a\\nb\"");
+}
+
+TEST_CASE("a repeated event is logged once a period with the count left out")
+{
+    std::vector<std::pair<event_record, std::uint64_t>> written;
+    event_log log(std::make_unique<recording_sink>(written), 10);
+    const instant zero{};
+    for (int i = 0; i < 600; ++i)
+    {
+        log.report(dropped(1), zero + i * 100ms);
+    }
+    CHECK(written.size() == 1);
+    log.report(dropped(1), zero + 60s);
+    REQUIRE(written.size() == 2);
+    CHECK(written[1].second == 599);
+    // Another number has its own limit; a number without one is not limited.
+    log.report(joined(1), zero + 60s);
+    log.report(joined(2), zero + 60s);
+    CHECK(written.size() == 4);
+}
+
+TEST_CASE("occurrences left out are reported though the event stops")
+{
+    std::vector<std::pair<event_record, std::uint64_t>> written;
+    event_log log(std::make_unique<recording_sink>(written), 10);
+    const instant zero{};
+    log.report(dropped(1), zero);
+    log.report(dropped(1), zero + 1s);
+    log.report_suppressed(start, zero + 59s);
+    CHECK(written.size() == 1);
+    log.report_suppressed(start, zero + 60s);
+    log.report_suppressed(start, zero + 180s);
+    REQUIRE(written.size() == 2);
+    CHECK(render_text(written[1].first) ==
+          "1 events of number 6008 were not logged");
+}
+
+TEST_CASE("the audit trail holds changes only, bounded, the newest kept")
+{
+    audit_trail trail(3);
+    CHECK_FALSE(trail.add(dropped(1), {}));
+    for (unsigned vm = 1; vm <= 5; ++vm)
+    {
+        CHECK(trail.add(joined(vm), {{7}, "probe", ""}));
+    }
+    CHECK(trail.dropped() == 2);
+    const auto all = trail.entries(0, 100);
+    REQUIRE(all.size() == 3);
+    CHECK(all.front().sequence == 3);
+    CHECK(all.back() == audit_entry{5, joined(5), {{7}, "probe", ""}});
+    CHECK(trail.entries(4, 100).size() == 1);
+    CHECK(trail.entries(0, 1).front().sequence == 5);
+    CHECK(trail.entries(9, 100).empty());
+}
+
+TEST_CASE("threads that report at once lose no audit entry")
+{
+    std::vector<std::pair<event_record, std::uint64_t>> written;
+    event_log log(std::make_unique<recording_sink>(written), 10'000);
+    std::vector<std::jthread> threads;
+    for (unsigned t = 0; t < 4; ++t)
+    {
+        threads.emplace_back(
+            [&log, t]
+            {
+                for (unsigned i = 0; i < 500; ++i)
+                {
+                    log.report(joined(t * 1000 + i), instant{});
+                }
+            });
+    }
+    threads.clear();
+    CHECK(written.size() == 2000);
+    CHECK(log.audit().entries(0, 10'000).back().sequence == 2000);
+}
+
+TEST_CASE("the Boost.Log sink writes whole lines at or above its severity")
+{
+    std::ostringstream stream;
+    {
+        boost_log_sink sink(stream, log_format::key_value, severity::warning);
+        sink.write(dropped(3), 0);
+        sink.write(joined(1), 0);
+    }
+    CHECK(stream.str() ==
+          render_line(dropped(3), log_format::key_value) + "\n");
+}
--- /dev/null
+++ b/catkinkeel/event/record.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+// One occurrence of a numbered event, and its renderings.
+
+#include "catkinkeel/base/outcome.hpp"
+#include "catkinkeel/event/catalogue.hpp"
+
+#include <chrono>
+#include <compare>
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace catkinkeel
+{
+
+/// Wall-clock time (UTC). The caller reads the clock; this library does not.
+using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
+
+/// "2026-12-04T10:59:51.007Z"; years 1970 to 9999.
+std::string to_string(wall_time time);
+
+/// Parses what `to_string` prints. Fails with `invalid_input`.
+outcome<wall_time> parse_wall_time(std::string_view text);
+
+/// A named value of an event.
+struct event_field
+{
+    std::string name;
+    std::string value;
+
+    friend auto operator<=>(const event_field&, const event_field&) = default;
+};
+
+inline event_field field(std::string name, std::string value)
+{
+    return {std::move(name), std::move(value)};
+}
+
+template <std::integral Value>
+event_field field(std::string name, Value value)
+{
+    return {std::move(name), std::to_string(value)};
+}
+
+/// One occurrence of an event.
+struct event_record
+{
+    event_number number = event_number::daemon_started;
+    wall_time at;
+    std::vector<event_field> fields;
+
+    friend auto operator<=>(const event_record&, const event_record&) = default;
+};
+
+/// Fields that the catalogue's text names and the record lacks, for tests of
+/// code that emits events.
+std::vector<std::string> missing_fields(const event_record& record);
+
+/// The catalogue's text with the fields filled in; a missing field prints "?".
+std::string render_text(const event_record& record);
+
+/// Encodings of a log line, without its line break.
+enum class log_format : std::uint8_t
+{
+    key_value,
+    json
+};
+
+/// One line. `suppressed` is the number of events of this number that were not
+/// logged since the last one; 0 is left out. Values are escaped, so that text
+/// from the network never starts a new line or a new field.
+std::string render_line(const event_record& record, log_format format,
+                        std::uint64_t suppressed = 0);
+
+} // namespace catkinkeel
