--- a/catkinkeel/event/catalogue.cpp
+++ b/catkinkeel/event/catalogue.cpp
@@ -210,11 +210,16 @@
 
 } // namespace
 
+std::span<const std::string_view> severity_names()
+{
+    static constexpr std::array<std::string_view, 5> names{
+        "debug", "info", "warning", "error", "critical"};
+    return names;
+}
+
 std::string_view to_string(severity level)
 {
-    constexpr std::array<std::string_view, 5> names{"debug", "info", "warning",
-                                                    "error", "critical"};
-    return names.at(static_cast<std::size_t>(level));
+    return severity_names()[static_cast<std::size_t>(level)];
 }
 
 std::string_view to_string(change_kind kind)
--- a/catkinkeel/event/catalogue.hpp
+++ b/catkinkeel/event/catalogue.hpp
@@ -92,6 +92,9 @@
     critical
 };
 
+/// Names of the severities in the order of their values.
+std::span<const std::string_view> severity_names();
+
 std::string_view to_string(severity level);
 
 /// What kind of change an event reports to the audit trail.
--- /dev/null
+++ b/catkinkeel/settings/parse.cpp
@@ -0,0 +1,483 @@
+#include "catkinkeel/settings/internal/keys.hpp"
+
+#include <toml.hpp>
+
+#include <algorithm>
+#include <exception>
+#include <fstream>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <type_traits>
+
+namespace catkinkeel
+{
+
+using namespace settings_internal;
+
+namespace
+{
+
+// toml11 recurses once for each nesting level and each part of a dotted key, so
+// unlimited text could exhaust the stack.
+constexpr std::size_t nesting_limit = 16;
+constexpr std::size_t line_length_limit = 4096;
+constexpr std::size_t dots_limit = 64;
+
+using problems = std::vector<settings_problem>;
+
+std::uint32_t line_of(const toml::value& value)
+{
+    return value.location().line();
+}
+
+std::size_t edit_distance(std::string_view a, std::string_view b)
+{
+    std::vector<std::size_t> row(b.size() + 1);
+    for (std::size_t j = 0; j <= b.size(); ++j)
+    {
+        row[j] = j;
+    }
+    for (std::size_t i = 1; i <= a.size(); ++i)
+    {
+        std::size_t diagonal = row[0];
+        row[0] = i;
+        for (std::size_t j = 1; j <= b.size(); ++j)
+        {
+            const std::size_t replaced =
+                diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+            diagonal = row[j];
+            row[j] = std::min({row[j] + 1, row[j - 1] + 1, replaced});
+        }
+    }
+    return row[b.size()];
+}
+
+std::string unknown_key_message(std::string_view key,
+                                const std::vector<std::string_view>& known)
+{
+    // A longer key would only make the distance costly.
+    constexpr std::size_t longest = 64;
+    std::string_view nearest;
+    std::size_t least = std::max<std::size_t>(2, key.size() / 3) + 1;
+    for (const std::string_view candidate : known)
+    {
+        if (key.size() > longest)
+        {
+            break;
+        }
+        const std::size_t distance = edit_distance(key, candidate);
+        if (distance < least)
+        {
+            least = distance;
+            nearest = candidate;
+        }
+    }
+    return nearest.empty()
+               ? "unknown key"
+               : "unknown key; did you mean " + std::string(nearest) + "?";
+}
+
+std::string_view found_type(const toml::value& value)
+{
+    switch (value.type())
+    {
+    case toml::value_t::boolean:
+        return "a boolean";
+    case toml::value_t::integer:
+        return "an integer";
+    case toml::value_t::floating:
+        return "a floating-point number";
+    case toml::value_t::string:
+        return "a string";
+    case toml::value_t::array:
+        return "an array";
+    case toml::value_t::table:
+        return "a table";
+    default:
+        return "a date or time";
+    }
+}
+
+failure wrong_type(std::string_view wanted, const toml::value& value)
+{
+    return {failure_kind::invalid_input, "must be " + std::string(wanted) +
+                                             ", not " +
+                                             std::string(found_type(value))};
+}
+
+failure out_of_range(std::string_view what, const value_range& range)
+{
+    return {failure_kind::invalid_input, std::string(what) + " must be from " +
+                                             number_text(range.least) + " to " +
+                                             number_text(range.most)};
+}
+
+outcome<std::int64_t> read_integer(const toml::value& value,
+                                   const value_range& range)
+{
+    if (!value.is_integer())
+    {
+        return wrong_type("an integer", value);
+    }
+    const std::int64_t number = value.as_integer();
+    if (number < static_cast<std::int64_t>(range.least) ||
+        number > static_cast<std::int64_t>(range.most))
+    {
+        return out_of_range("value", range);
+    }
+    return number;
+}
+
+template <class Value>
+outcome<Value> read_value(const toml::value& value, const value_range& range)
+{
+    if constexpr (std::is_same_v<Value, double>)
+    {
+        if (!value.is_floating() && !value.is_integer())
+        {
+            return wrong_type("a number", value);
+        }
+        const double number = value.is_integer()
+                                  ? static_cast<double>(value.as_integer())
+                                  : value.as_floating();
+        // Written so that a NaN is out of range.
+        if (!(number >= range.least && number <= range.most))
+        {
+            return out_of_range("value", range);
+        }
+        return number;
+    }
+    else if constexpr (std::is_same_v<Value, std::string>)
+    {
+        if (!value.is_string())
+        {
+            return wrong_type("a string", value);
+        }
+        const std::string& text = value.as_string().str;
+        if (static_cast<double>(text.size()) < range.least ||
+            static_cast<double>(text.size()) > range.most)
+        {
+            return out_of_range("length in bytes", range);
+        }
+        return text;
+    }
+    else if constexpr (std::is_same_v<Value, endpoint>)
+    {
+        if (!value.is_string())
+        {
+            return wrong_type("a string \"address:port\"", value);
+        }
+        return parse_endpoint(value.as_string().str);
+    }
+    else if constexpr (std::is_enum_v<Value>)
+    {
+        const auto names = names_of(Value{});
+        const auto found = value.is_string()
+                               ? std::ranges::find(names, value.as_string().str)
+                               : names.end();
+        if (found == names.end())
+        {
+            std::string all;
+            for (const std::string_view name : names)
+            {
+                all += (all.empty() ? "\"" : ", \"") + std::string(name) + "\"";
+            }
+            return failure{failure_kind::invalid_input,
+                           "must be one of " + all};
+        }
+        return static_cast<Value>(found - names.begin());
+    }
+    else
+    {
+        const outcome<std::int64_t> number = read_integer(value, range);
+        if (!number)
+        {
+            return number.error();
+        }
+        if constexpr (std::is_class_v<Value> &&
+                      !std::is_same_v<Value, std::chrono::seconds>)
+        {
+            return Value{static_cast<decltype(Value::value)>(number.value())};
+        }
+        else
+        {
+            return Value(static_cast<std::uint32_t>(number.value()));
+        }
+    }
+}
+
+template <class Owner>
+void fill(Owner& owner, const key_row<Owner>& row, const std::string& key,
+          const toml::value& value, problems& found)
+{
+    std::visit(
+        [&]<class Value>(Value Owner::*member)
+        {
+            outcome<Value> read = read_value<Value>(value, row.range);
+            if (read)
+            {
+                owner.*member = std::move(read).value();
+            }
+            else
+            {
+                found.push_back({line_of(value), key, read.error().message});
+            }
+        },
+        row.member);
+}
+
+template <class Owner>
+std::vector<std::string_view> names(std::span<const key_row<Owner>> rows)
+{
+    std::vector<std::string_view> all;
+    for (const key_row<Owner>& row : rows)
+    {
+        all.push_back(row.name);
+    }
+    return all;
+}
+
+// Fills `owner` from the pairs of key and value. `prefix` stands before the key
+// in messages, `owner_line` is named for missing keys.
+template <class Owner>
+void fill_all(Owner& owner, std::span<const key_row<Owner>> rows,
+              const std::map<std::string, const toml::value*>& values,
+              const std::string& prefix, std::uint32_t owner_line,
+              problems& found)
+{
+    for (const auto& [key, value] : values)
+    {
+        const auto row = std::ranges::find(rows, std::string_view(key),
+                                           &key_row<Owner>::name);
+        if (row == rows.end())
+        {
+            found.push_back({line_of(*value), prefix + key,
+                             unknown_key_message(key, names(rows))});
+            continue;
+        }
+        fill(owner, *row, prefix + key, *value, found);
+    }
+    for (const key_row<Owner>& row : rows)
+    {
+        if (row.need == presence::required &&
+            !values.contains(std::string(row.name)))
+        {
+            found.push_back({owner_line, prefix + std::string(row.name),
+                             "required key is missing"});
+        }
+    }
+}
+
+void read_peers(daemon_settings& settings, const toml::value& value,
+                problems& found)
+{
+    if (!value.is_array())
+    {
+        const failure reason = wrong_type("a list of tables [[peers]]", value);
+        found.push_back({line_of(value), "peers", reason.message});
+        return;
+    }
+    if (value.as_array().size() > peer_limit)
+    {
+        found.push_back(
+            {line_of(value), "peers",
+             "has more than " + std::to_string(peer_limit) + " entries"});
+        return;
+    }
+    for (const toml::value& entry : value.as_array())
+    {
+        if (!entry.is_table())
+        {
+            found.push_back({line_of(entry), "peers",
+                             wrong_type("a table", entry).message});
+            continue;
+        }
+        std::map<std::string, const toml::value*> values;
+        for (const auto& [key, member] : entry.as_table())
+        {
+            values.emplace(key, &member);
+        }
+        peer_settings peer;
+        fill_all(peer, peer_keys(), values, "peers.", line_of(entry), found);
+        settings.peers.push_back(peer);
+    }
+}
+
+bool is_section(std::string_view name)
+{
+    return std::ranges::any_of(
+        daemon_keys(), [name](const key_row<daemon_settings>& row)
+        { return row.name.substr(0, row.name.find('.')) == name; });
+}
+
+std::string unknown_section_message(std::string_view name)
+{
+    std::vector<std::string_view> sections{"peers"};
+    for (const key_row<daemon_settings>& row : daemon_keys())
+    {
+        sections.push_back(row.name.substr(0, row.name.find('.')));
+    }
+    return unknown_key_message(name, sections);
+}
+
+settings_result read_document(const toml::value& root)
+{
+    daemon_settings settings;
+    problems found;
+    std::map<std::string, const toml::value*> values;
+    std::map<std::string, std::uint32_t> lines;
+    for (const auto& [section, value] : root.as_table())
+    {
+        lines.emplace(section, line_of(value));
+        if (section == "peers")
+        {
+            read_peers(settings, value, found);
+        }
+        else if (!is_section(section))
+        {
+            found.push_back(
+                {line_of(value), section, unknown_section_message(section)});
+        }
+        else if (!value.is_table())
+        {
+            found.push_back({line_of(value), section,
+                             wrong_type("a table", value).message});
+        }
+        else
+        {
+            for (const auto& [key, member] : value.as_table())
+            {
+                values.emplace(section + "." + key, &member);
+                lines.emplace(section + "." + key, line_of(member));
+            }
+        }
+    }
+    fill_all(settings, daemon_keys(), values, "", 0, found);
+    // Rules between keys say nothing useful about values that were not read.
+    if (found.empty())
+    {
+        for (const rule_violation& violation : check_rules(settings))
+        {
+            const auto line = lines.find(violation.key);
+            found.push_back({line == lines.end() ? 0 : line->second,
+                             violation.key, violation.message});
+        }
+    }
+    if (found.empty())
+    {
+        return settings;
+    }
+    std::ranges::sort(found);
+    return found;
+}
+
+// The first line of what the parser says, without its "[error] toml::" prefix.
+std::string syntax_message(std::string_view what)
+{
+    std::string_view first = what.substr(0, what.find('\n'));
+    if (const std::size_t at = first.find("toml::");
+        at != std::string_view::npos)
+    {
+        const std::size_t colon = first.find(": ", at);
+        first.remove_prefix(colon == std::string_view::npos ? at : colon + 2);
+    }
+    return std::string(first);
+}
+
+std::optional<settings_problem> check_limits(std::string_view text)
+{
+    if (text.size() > settings_size_limit.value)
+    {
+        return settings_problem{0, "",
+                                "text is longer than " +
+                                    std::to_string(settings_size_limit.value) +
+                                    " bytes"};
+    }
+    std::uint32_t line = 1;
+    std::size_t length = 0;
+    std::size_t dots = 0;
+    std::size_t depth = 0;
+    for (const char c : text)
+    {
+        length = c == '\n' ? 0 : length + 1;
+        dots = c == '\n' ? 0 : dots + (c == '.' ? 1 : 0);
+        line += c == '\n' ? 1 : 0;
+        if (c == '[' || c == '{')
+        {
+            ++depth;
+        }
+        else if ((c == ']' || c == '}') && depth > 0)
+        {
+            --depth;
+        }
+        if (length > line_length_limit || depth > nesting_limit ||
+            dots > dots_limit)
+        {
+            return settings_problem{
+                line, "", "line is too long or brackets are nested too deep"};
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string to_string(const settings_problem& problem)
+{
+    std::string text;
+    if (problem.line > 0)
+    {
+        text += "line " + std::to_string(problem.line) + ": ";
+    }
+    if (!problem.key.empty())
+    {
+        text += problem.key + ": ";
+    }
+    return text + problem.message;
+}
+
+settings_result parse_settings(std::string_view text)
+{
+    if (const auto problem = check_limits(text))
+    {
+        return problems{*problem};
+    }
+    try
+    {
+        std::istringstream stream{std::string(text)};
+        return read_document(toml::parse(stream, "settings"));
+    }
+    catch (const toml::syntax_error& error)
+    {
+        return problems{
+            {error.location().line(), "", syntax_message(error.what())}};
+    }
+    catch (const std::exception& error)
+    {
+        return problems{{0, "", syntax_message(error.what())}};
+    }
+}
+
+outcome<std::string> read_settings_text(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::string text(settings_size_limit.value + 1, '\0');
+    if (!file ||
+        (!file.read(text.data(), static_cast<std::streamsize>(text.size())) &&
+         !file.eof()))
+    {
+        return failure{failure_kind::unavailable, path + " cannot be read"};
+    }
+    text.resize(static_cast<std::size_t>(file.gcount()));
+    if (text.size() > settings_size_limit.value)
+    {
+        return failure{failure_kind::limit_exceeded,
+                       path + " is longer than " +
+                           std::to_string(settings_size_limit.value) +
+                           " bytes"};
+    }
+    return text;
+}
+
+} // namespace catkinkeel
--- /dev/null
+++ b/catkinkeel/settings/settings.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+// The settings of one daemon: what it must know of its own VM before it can
+// reach anything else. Read once at startup. docs/settings.md lists the keys.
+
+#include "catkinkeel/base/address.hpp"
+#include "catkinkeel/base/byte_count.hpp"
+#include "catkinkeel/base/identifier.hpp"
+#include "catkinkeel/base/outcome.hpp"
+#include "catkinkeel/event/record.hpp"
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace catkinkeel
+{
+
+/// An entry VM that is known before the platform's list is read.
+struct peer_settings
+{
+    vm_id id;
+    data_centre_id data_centre;
+    endpoint control;
+    endpoint packets;
+
+    friend auto operator<=>(const peer_settings&,
+                            const peer_settings&) = default;
+};
+
+/// Members without a default here are required in the file.
+struct daemon_settings
+{
+    vm_id id;
+    std::string name;
+    data_centre_id data_centre;
+
+    /// UDP, packets of the fabric and of other entry VMs.
+    endpoint packets;
+    /// TCP, messages of other entry VMs.
+    endpoint control;
+    /// TCP, operators' HTTP. Not authenticated, hence loopback by default.
+    endpoint operators{{0x7f000001}, 9080};
+    /// UDP, where refusals (RST, ICMP) are sent back to the fabric.
+    endpoint egress;
+
+    endpoint configuration;
+    endpoint vm_list;
+    std::string key_file;
+    std::vector<peer_settings> peers;
+
+    std::uint32_t flow_capacity = 1'000'000;
+    std::chrono::seconds tcp_idle_timeout{300};
+    std::chrono::seconds udp_idle_timeout{60};
+    /// A target takes no new flow by its base table above (1 + load_bound)
+    /// times the mean.
+    double load_bound = 0.05;
+
+    /// Control traffic that the daemon may send in a second.
+    byte_count control_budget{2048};
+    std::uint32_t packet_ring = 256;
+    std::uint32_t control_ring = 4096;
+
+    std::chrono::seconds shutdown_time_limit{60};
+    severity log_level = severity::info;
+    log_format log_encoding = log_format::key_value;
+    std::uint32_t audit_capacity = 4096;
+
+    friend auto operator<=>(const daemon_settings&,
+                            const daemon_settings&) = default;
+};
+
+/// One thing that is wrong with a settings file.
+struct settings_problem
+{
+    /// From 1; 0 if no line is to blame, as for a missing key.
+    std::uint32_t line = 0;
+    /// The key, for example "flows.capacity"; empty for a syntax error.
+    std::string key;
+    std::string message;
+
+    friend auto operator<=>(const settings_problem&,
+                            const settings_problem&) = default;
+};
+
+/// "line 7: flows.capacity: must be ...".
+std::string to_string(const settings_problem& problem);
+
+/// The settings, or every problem of the text, ordered by line.
+using settings_result =
+    std::variant<daemon_settings, std::vector<settings_problem>>;
+
+/// Largest settings text that is read. The largest file that operators need is
+/// a list of some hundred peers.
+constexpr byte_count settings_size_limit{256 * 1024};
+
+/// Parses and checks the whole text. Never throws.
+settings_result parse_settings(std::string_view text);
+
+/// Text of the file. Fails with `unavailable` if it cannot be read and with
+/// `limit_exceeded` above `settings_size_limit`.
+outcome<std::string> read_settings_text(const std::string& path);
+
+/// The page docs/settings.md.
+std::string settings_markdown();
+
+} // namespace catkinkeel
