--- /dev/null
+++ b/catkinkeel/operators/json.cpp
@@ -0,0 +1,307 @@
+#include "catkinkeel/operators/internal/members.hpp"
+#include "catkinkeel/operators/names.hpp"
+
+#include <concepts>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <type_traits>
+
+namespace catkinkeel
+{
+
+using namespace operators_internal;
+
+namespace
+{
+
+using json = nlohmann::ordered_json;
+
+/// Raised when a member changes its meaning; new members don't raise it.
+constexpr std::uint32_t format_number = 1;
+
+/// An identifier or a size.
+template <class T>
+concept wrapped_number = std::is_class_v<T> && requires(T wrapped)
+{
+    requires std::unsigned_integral<decltype(wrapped.value)>;
+} && !std::same_as<T, ipv4_address>;
+
+template <class T>
+struct is_vector : std::false_type
+{
+};
+template <class T>
+struct is_vector<std::vector<T>> : std::true_type
+{
+};
+template <class T>
+struct is_optional : std::false_type
+{
+};
+template <class T>
+struct is_optional<std::optional<T>> : std::true_type
+{
+};
+
+template <class T>
+json encode(const T& value)
+{
+    if constexpr (std::is_arithmetic_v<T> || std::same_as<T, std::string>)
+    {
+        return value;
+    }
+    else if constexpr (std::is_enum_v<T>)
+    {
+        return name_of(value);
+    }
+    else if constexpr (std::same_as<T, wall_time>)
+    {
+        return to_string(value);
+    }
+    else if constexpr (std::same_as<T, endpoint>)
+    {
+        // An unknown endpoint; its text has port 0, which does not parse.
+        return value == endpoint{} ? json(nullptr) : json(to_string(value));
+    }
+    else if constexpr (wrapped_number<T>)
+    {
+        return value.value;
+    }
+    else if constexpr (is_optional<T>::value)
+    {
+        return value ? encode(*value) : json(nullptr);
+    }
+    else if constexpr (is_vector<T>::value)
+    {
+        json list = json::array();
+        for (const auto& entry : value)
+        {
+            list.push_back(encode(entry));
+        }
+        return list;
+    }
+    else
+    {
+        static_assert(has_members<T>);
+        json object = json::object();
+        std::apply(
+            [&](const auto&... row) {
+                ((object[std::string(row.name)] = encode(value.*row.pointer)),
+                 ...);
+            },
+            members_of<T>::rows);
+        return object;
+    }
+}
+
+/// Where a value stands in a document, and the first thing that is wrong.
+struct decoder
+{
+    std::string path;
+    std::string problem;
+
+    bool fail(std::string_view reason)
+    {
+        if (problem.empty())
+        {
+            problem = path + ": " + std::string(reason);
+        }
+        return false;
+    }
+
+    template <class T>
+    bool decode_text(const json& from, T& to,
+                     outcome<T> (*parse)(std::string_view))
+    {
+        if (!from.is_string())
+        {
+            return fail("must be a string");
+        }
+        const outcome<T> parsed = parse(from.get_ref<const std::string&>());
+        if (!parsed)
+        {
+            return fail(parsed.error().message);
+        }
+        to = parsed.value();
+        return true;
+    }
+
+    template <std::unsigned_integral T>
+    bool decode_number(const json& from, T& to)
+    {
+        if (!from.is_number_unsigned() ||
+            from.get<std::uint64_t>() > std::numeric_limits<T>::max())
+        {
+            return fail("must be an integer from 0 to " +
+                        std::to_string(std::numeric_limits<T>::max()));
+        }
+        to = static_cast<T>(from.get<std::uint64_t>());
+        return true;
+    }
+
+    template <class Enum>
+    bool decode_enum(const json& from, Enum& to)
+    {
+        if (from.is_string())
+        {
+            const auto& text = from.get_ref<const std::string&>();
+            for (const enum_name<Enum>& row : names_of(to))
+            {
+                if (row.name == text)
+                {
+                    to = row.value;
+                    return true;
+                }
+            }
+        }
+        return fail("has no known name");
+    }
+
+    template <class T>
+    bool decode_list(const json& from, std::vector<T>& to)
+    {
+        if (!from.is_array())
+        {
+            return fail("must be a list");
+        }
+        const std::size_t length = path.size();
+        to.clear();
+        for (std::size_t i = 0; i < from.size(); ++i)
+        {
+            path += "[" + std::to_string(i) + "]";
+            if (!decode(from[i], to.emplace_back()))
+            {
+                return false;
+            }
+            path.resize(length);
+        }
+        return true;
+    }
+
+    template <class Owner, class Value>
+    bool decode_member(const json& from, Owner& to,
+                       const member_row<Owner, Value>& row)
+    {
+        const auto found = from.find(row.name);
+        if (found == from.end())
+        {
+            return true;
+        }
+        const std::size_t length = path.size();
+        path += (path.empty() ? "" : ".") + std::string(row.name);
+        const bool decoded = decode(*found, to.*row.pointer);
+        path.resize(length);
+        return decoded;
+    }
+
+    template <class T>
+    bool decode(const json& from, T& to)
+    {
+        if constexpr (std::same_as<T, bool>)
+        {
+            to = from.is_boolean() && from.get<bool>();
+            return from.is_boolean() || fail("must be true or false");
+        }
+        else if constexpr (std::unsigned_integral<T>)
+        {
+            return decode_number(from, to);
+        }
+        else if constexpr (std::same_as<T, std::string>)
+        {
+            to = from.is_string() ? from.get<std::string>() : "";
+            return from.is_string() || fail("must be a string");
+        }
+        else if constexpr (std::is_enum_v<T>)
+        {
+            return decode_enum(from, to);
+        }
+        else if constexpr (std::same_as<T, wall_time>)
+        {
+            return decode_text(from, to, parse_wall_time);
+        }
+        else if constexpr (std::same_as<T, endpoint>)
+        {
+            to = {};
+            return from.is_null() || decode_text(from, to, parse_endpoint);
+        }
+        else if constexpr (wrapped_number<T>)
+        {
+            return decode_number(from, to.value);
+        }
+        else if constexpr (is_optional<T>::value)
+        {
+            to.reset();
+            return from.is_null() || decode(from, to.emplace());
+        }
+        else if constexpr (is_vector<T>::value)
+        {
+            return decode_list(from, to);
+        }
+        else
+        {
+            static_assert(has_members<T>);
+            return from.is_object()
+                       ? std::apply(
+                             [&](const auto&... row)
+                             { return (decode_member(from, to, row) && ...); },
+                             members_of<T>::rows)
+                       : fail("must be an object");
+        }
+    }
+};
+
+failure invalid(std::string message)
+{
+    return {failure_kind::invalid_input, std::move(message)};
+}
+
+} // namespace
+
+template <class Document>
+std::string to_json(const Document& document)
+{
+    json object{{"kind", kind_of<Document>}, {"format", format_number}};
+    object.update(encode(document));
+    return object.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+template <class Document>
+outcome<Document> from_json(std::string_view text)
+{
+    if (text.size() > answer_size_limit.value)
+    {
+        return failure{failure_kind::limit_exceeded, "document is too long"};
+    }
+    const json object = json::parse(text, nullptr, false);
+    if (!object.is_object())
+    {
+        return invalid("not a JSON object");
+    }
+    const auto kind = object.find("kind");
+    if (kind == object.end() || *kind != kind_of<Document>)
+    {
+        return invalid("not a document of the kind " +
+                       std::string(kind_of<Document>));
+    }
+    const auto format = object.find("format");
+    if (format == object.end() || *format != format_number)
+    {
+        return invalid("format is not " + std::to_string(format_number));
+    }
+    Document document;
+    decoder reader;
+    if (!reader.decode(object, document))
+    {
+        return invalid(reader.problem);
+    }
+    return document;
+}
+
+template std::string to_json(const status_document&);
+template std::string to_json(const audit_document&);
+template std::string to_json(const explain_document&);
+template outcome<status_document> from_json(std::string_view);
+template outcome<audit_document> from_json(std::string_view);
+template outcome<explain_document> from_json(std::string_view);
+
+} // namespace catkinkeel
--- /dev/null
+++ b/catkinkeel/operators/names.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+// Names of enumerations as they stand in JSON answers, metric labels and
+// tables. A name is kept over releases.
+
+#include "catkinkeel/flow/packet_facts.hpp"
+#include "catkinkeel/operators/documents.hpp"
+
+#include <span>
+#include <string_view>
+
+namespace catkinkeel
+{
+
+template <class Enum>
+struct enum_name
+{
+    Enum value;
+    std::string_view name;
+};
+
+std::span<const enum_name<liveness>> names_of(liveness);
+std::span<const enum_name<target_wish>> names_of(target_wish);
+std::span<const enum_name<data_centre_wish>> names_of(data_centre_wish);
+std::span<const enum_name<bearing_reason>> names_of(bearing_reason);
+std::span<const enum_name<protocol>> names_of(protocol);
+std::span<const enum_name<explained_action>> names_of(explained_action);
+std::span<const enum_name<explained_source>> names_of(explained_source);
+std::span<const enum_name<refusal_reason>> names_of(refusal_reason);
+std::span<const enum_name<discard_reason>> names_of(discard_reason);
+
+/// "unknown" for a value without a name.
+template <class Enum>
+std::string_view name_of(Enum value)
+{
+    for (const enum_name<Enum>& row : names_of(value))
+    {
+        if (row.value == value)
+        {
+            return row.name;
+        }
+    }
+    return "unknown";
+}
+
+} // namespace catkinkeel
--- /dev/null
+++ b/catkinkeel/operators/operators_test.cpp
@@ -0,0 +1,316 @@
+#include "catkinkeel/base/random.hpp"
+#include "catkinkeel/operators/documents.hpp"
+#include "catkinkeel/operators/metrics.hpp"
+#include "catkinkeel/operators/names.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+using namespace catkinkeel;
+
+namespace
+{
+
+std::string source_file(const std::string& name)
+{
+    std::ifstream file(CATKINKEEL_SOURCE_DIR "/" + name);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+const daemon_identity identity{
+    {1}, "zilina-a-1", {1}, "0.1.0", wall_time{std::chrono::seconds{1000}}};
+
+status_document sample_status()
+{
+    status_document document;
+    document.daemon = identity;
+    document.uptime_seconds = 70;
+    document.shutting_down = true;
+    document.set = {{7},
+                    wall_time{std::chrono::seconds{900}},
+                    "jana",
+                    refused_set{{8}, wall_time{}, {"\"x\" is dangling"}}};
+    document.members = {
+        {{2}, {1}, {{0x0a000001}, 6081}, 3, liveness::suspect, true, {7}}};
+    document.data_centres = {
+        {{1}, "zilina-a", data_centre_wish::out_of_service, 2, 8192}};
+    document.targets = {{.id = {11},
+                         .service = {1},
+                         .data_centre = {1},
+                         .address = {{0x0a000002}, 80},
+                         .wish = target_wish::drain,
+                         .reason = bearing_reason::ramping,
+                         .limit = 4,
+                         .held = 3,
+                         .connections = 9,
+                         .busy_slots = 1,
+                         .report_age_ms = 250,
+                         .steward = {2}}};
+    document.buckets = {1, 2, 3, 4};
+    document.flows = {5, 6, 7, 8, 9, 10};
+    document.replication = {11, 12, 13};
+    document.control = {{2048}, {14}, {15}};
+    document.dropped_packets = {{"hop_limit", 16}};
+    return document;
+}
+
+explain_document sample_explain()
+{
+    return {.daemon = identity,
+            .caller = {{0x0a000009}, 5},
+            .public_endpoint = {{0x0a000008}, 443},
+            .transport = protocol::udp,
+            .in_effect = {7},
+            .bucket = {16383},
+            .home = {2},
+            .owner = {3},
+            .standby = {4},
+            .holder = true,
+            .reference = reference_id{5},
+            .service = std::nullopt,
+            .action = explained_action::deliver,
+            .source = explained_source::base_table,
+            .target = target_id{11},
+            .reason = "warm",
+            .candidates = {{{11}, 100, 3, 2000, bearing_reason::warm}}};
+}
+
+audit_document sample_audit()
+{
+    const event_record event{
+        event_number::set_in_effect,
+        wall_time{std::chrono::seconds{5}},
+        {field("version", 7), field("published_by", "jana")}};
+    return {identity,
+            3,
+            {make_audit_line({4, event, {{7}, "published set", "jana"}})}};
+}
+
+bool is_name_character(char c)
+{
+    return c == '_' || (c >= 'a' && c <= 'z');
+}
+
+template <class Document>
+void check_round_trip(const Document& document)
+{
+    const auto read = from_json<Document>(to_json(document));
+    INFO(to_json(document));
+    REQUIRE(read);
+    CHECK(read.value() == document);
+}
+
+// Random edits of JSON text; the reader must return a value or a failure.
+template <class Document>
+void check_mutations(const Document& document)
+{
+    const std::string original = to_json(document);
+    const std::vector<std::string> tokens{
+        "{",     "}",   "[",    "]",     "\"",
+        ":",     ",",   "null", "true",  "-1",
+        "1e99",  "1.5", "\\",   "\\u",   "\xff",
+        "[[",    "{}",  "[]",   "0",     "\"\"",
+        "99999", " ",   "7",    "\\ud8", "9223372036854775808"};
+    const bool holds = rc::check(
+        [&](std::uint64_t seed)
+        {
+            random_source random(seed);
+            std::string text = original;
+            const std::uint64_t rounds = 1 + random.below(4);
+            for (std::uint64_t i = 0; i < rounds; ++i)
+            {
+                const std::size_t at = random.below(text.size() + 1);
+                switch (random.below(3))
+                {
+                case 0:
+                    text.erase(at, random.below(20));
+                    break;
+                case 1:
+                    text.insert(at, tokens[random.below(tokens.size())]);
+                    break;
+                default:
+                    text.insert(at, 1, static_cast<char>(random.below(256)));
+                }
+            }
+            const auto read = from_json<Document>(text);
+            if (read)
+            {
+                // What was read can be written and read again.
+                RC_ASSERT(from_json<Document>(to_json(read.value())) == read);
+            }
+        });
+    CHECK(holds);
+}
+
+template <class Enum>
+void check_names(std::size_t count)
+{
+    std::set<std::string_view> names;
+    for (const enum_name<Enum>& row : names_of(Enum{}))
+    {
+        names.insert(row.name);
+    }
+    CHECK(names.size() == count);
+}
+
+} // namespace
+
+TEST_CASE("documents survive encoding and decoding")
+{
+    check_round_trip(sample_status());
+    check_round_trip(status_document{});
+    check_round_trip(sample_audit());
+    check_round_trip(sample_explain());
+    check_round_trip(explain_document{});
+}
+
+TEST_CASE("no mutation of an answer crashes the reader")
+{
+    check_mutations(sample_status());
+    check_mutations(sample_audit());
+    check_mutations(sample_explain());
+    CHECK_FALSE(from_json<status_document>(std::string(200'000, '[')));
+}
+
+TEST_CASE("a wrong answer is refused with the member's path")
+{
+    const auto error = [](const std::string& text)
+    {
+        return from_json<status_document>(text).error().message;
+    };
+    CHECK(error("") == "not a JSON object");
+    CHECK(error("{}") == "not a document of the kind status");
+    CHECK(error(to_json(sample_audit())) ==
+          "not a document of the kind status");
+    CHECK(error(R"({"kind":"status","format":2})") == "format is not 1");
+    const std::string head = R"({"kind":"status","format":1,)";
+    CHECK(error(head + R"("targets":[{"id":1},{"id":-1}]})") ==
+          "targets[1].id: must be an integer from 0 to 4294967295");
+    CHECK(error(head + R"("daemon":{"data_centre":65536}})") ==
+          "daemon.data_centre: must be an integer from 0 to 65535");
+    CHECK(error(head + R"("members":[{"state":"lazy"}]})") ==
+          "members[0].state: has no known name");
+    CHECK(error(head + R"("set":{"since":"today"}})").rfind("set.since: ", 0) ==
+          0);
+}
+
+TEST_CASE("an answer of another release is read as far as it is known")
+{
+    const auto read = from_json<status_document>(
+        R"({"kind":"status","format":1,"uptime_seconds":5,"new":{"x":[1]}})");
+    REQUIRE(read);
+    CHECK(read.value().uptime_seconds == 5);
+    CHECK(read.value().members.empty());
+}
+
+TEST_CASE("an audit line carries text, cause and publisher")
+{
+    const audit_line line = sample_audit().entries.at(0);
+    CHECK(line.text == "set 7 is in effect, published by jana");
+    CHECK(line.change == "set");
+    CHECK(line.event == 2002);
+    CHECK(line.cause == "published set");
+    CHECK(line.published_by == "jana");
+}
+
+TEST_CASE("a flow in a request is parsed whole or refused by name")
+{
+    const auto key = parse_flow("10.0.0.1:40000", "10.0.0.2:443", "tcp");
+    REQUIRE(key);
+    CHECK(explain_request(key.value()) ==
+          "/v1/explain?caller=10.0.0.1:40000&public=10.0.0.2:443&protocol=tcp");
+    CHECK(audit_request({5, 10}) == "/v1/audit?after=5&limit=10");
+    CHECK(parse_flow("x", "10.0.0.2:443", "tcp")
+              .error()
+              .message.rfind("caller: ", 0) == 0);
+    CHECK(parse_flow("10.0.0.1:1", "y", "tcp")
+              .error()
+              .message.rfind("public: ", 0) == 0);
+    CHECK(parse_flow("10.0.0.1:1", "10.0.0.2:443", "z")
+              .error()
+              .message.rfind("protocol: ", 0) == 0);
+}
+
+TEST_CASE("every enumerator has its own name")
+{
+    check_names<liveness>(4);
+    check_names<target_wish>(2);
+    check_names<data_centre_wish>(2);
+    check_names<bearing_reason>(6);
+    check_names<protocol>(2);
+    check_names<explained_action>(4);
+    check_names<explained_source>(6);
+    check_names<refusal_reason>(4);
+    check_names<discard_reason>(8);
+    CHECK(name_of(static_cast<liveness>(99)) == "unknown");
+}
+
+TEST_CASE("the page of metrics says what the code does")
+{
+    CHECK(source_file("docs/metrics.md") == metrics_markdown());
+}
+
+TEST_CASE("metric names follow the Prometheus conventions")
+{
+    std::set<std::string_view> names;
+    for (const metric_definition& row : metric_definitions())
+    {
+        INFO(row.name);
+        CHECK(names.insert(row.name).second);
+        CHECK(row.name.starts_with("catkinkeel_"));
+        CHECK(std::ranges::all_of(row.name, is_name_character));
+        CHECK((row.kind == metric_kind::counter) ==
+              row.name.ends_with("_total"));
+        CHECK((row.unit == "s") == row.name.ends_with("_seconds"));
+        CHECK((row.unit == "B") ==
+              (row.name.find("_bytes") != std::string_view::npos));
+        CHECK(row.label.empty() == (row.label_values == nullptr));
+        CHECK(row.label.empty() ==
+              std::holds_alternative<double metrics_snapshot::*>(row.member));
+    }
+}
+
+TEST_CASE("the alerts name only metrics and label values that exist")
+{
+    const std::string alerts = source_file("samples/alerts.yml");
+    const std::string exported = metrics_text({});
+    std::size_t found = 0;
+    for (std::size_t at = alerts.find("catkinkeel_"); at != std::string::npos;
+         at = alerts.find("catkinkeel_", at + 1), ++found)
+    {
+        auto end = std::find_if_not(alerts.begin() + at, alerts.end(),
+                                    is_name_character);
+        const std::string name(alerts.begin() + at, end);
+        INFO(name);
+        CHECK((exported.find("\n" + name + " ") != std::string::npos ||
+               exported.find("\n" + name + "{") != std::string::npos));
+        // A selector {label="value"}; a regular expression is not compared.
+        if (*end == '{' && std::find(end, alerts.end(), '=')[1] == '"')
+        {
+            const std::string series(alerts.begin() + at,
+                                     std::find(end, alerts.end(), '}') + 1);
+            INFO(series);
+            CHECK(exported.find("\n" + series + " ") != std::string::npos);
+        }
+    }
+    CHECK(found > 10);
+}
+
+TEST_CASE("an unlisted label value can't add a series")
+{
+    metrics_snapshot snapshot;
+    snapshot.members = {{"alive", 6}, {"10.0.0.1", 1}};
+    const std::string text = metrics_text(snapshot);
+    CHECK(text.find("catkinkeel_members{state=\"alive\"} 6\n") !=
+          std::string::npos);
+    CHECK(text.find("catkinkeel_members{state=\"dead\"} 0\n") !=
+          std::string::npos);
+    CHECK(text.find("10.0.0.1") == std::string::npos);
+}
