--- /dev/null
+++ b/catkinkeel/contract/documents.cpp
@@ -0,0 +1,295 @@
+#include "catkinkeel/contract/documents.hpp"
+
+#include "catkinkeel/contract/internal/toml_text.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <utility>
+
+namespace catkinkeel
+{
+
+namespace
+{
+
+using namespace internal;
+
+constexpr std::array<field_row<service>, 4> service_rows{{
+    {"id", true, into<service, &service::id>},
+    {"name", true, into<service, &service::name>},
+    {"new_flows_per_second", false,
+     into<service, &service::new_flows_per_second>},
+    {"new_flows_per_second_per_network", false,
+     into<service, &service::new_flows_per_second_per_network>},
+}};
+
+constexpr std::array<field_row<data_centre>, 4> data_centre_rows{{
+    {"id", true, into<data_centre, &data_centre::id>},
+    {"name", true, into<data_centre, &data_centre::name>},
+    {"region", true, into<data_centre, &data_centre::region>},
+    {"state", false, into<data_centre, &data_centre::wish>},
+}};
+
+constexpr std::array<field_row<target>, 9> target_rows{{
+    {"id", true, into<target, &target::id>},
+    {"service", true, into<target, &target::service>},
+    {"data_centre", true, into<target, &target::data_centre>},
+    {"address", true, into<target, &target::address>},
+    {"report", true, into<target, &target::report>},
+    {"weight", false, into<target, &target::weight>},
+    {"state", false, into<target, &target::wish>},
+    {"slots", false, into<target, &target::slots>},
+    {"connections", false, into<target, &target::connections>},
+}};
+
+constexpr std::array<field_row<reference>, 4> reference_rows{{
+    {"id", true, into<reference, &reference::id>},
+    {"address", true, into<reference, &reference::public_endpoint>},
+    {"protocol", true, into<reference, &reference::transport>},
+    {"service", true, into<reference, &reference::service>},
+}};
+
+constexpr std::array<field_row<chunk_entry>, 3> chunk_rows{{
+    {"name", true, into<chunk_entry, &chunk_entry::name>},
+    {"hash", true, into<chunk_entry, &chunk_entry::hash>},
+    {"size", true, into<chunk_entry, &chunk_entry::size>},
+}};
+
+constexpr std::array<field_row<index_document>, 2> index_rows{{
+    {"version", true, into<index_document, &index_document::version>},
+    {"published_by", false,
+     into<index_document, &index_document::published_by>},
+}};
+
+/// One array of tables in a document of kind `Whole`.
+template <class Whole>
+struct array_row
+{
+    std::string_view key;
+    void (*read)(const toml::value&, std::string_view, Whole&,
+                 document_errors&);
+};
+
+/// Reads the array of tables `value` into a member of `Whole`.
+template <class Whole, auto Member, auto& Rows>
+void read_array(const toml::value& value, std::string_view kind, Whole& whole,
+                document_errors& errors)
+{
+    if (!value.is_array())
+    {
+        errors.add(line_of(value), "", std::string(kind),
+                   {"type", "must be an array of tables"});
+        return;
+    }
+    auto& objects = whole.*Member;
+    objects.reserve(value.as_array().size());
+    using object_type =
+        typename std::remove_reference_t<decltype(objects)>::value_type;
+    for (const toml::value& table : value.as_array())
+    {
+        if (errors.full())
+        {
+            return;
+        }
+        objects.push_back(read_object<object_type>(table, kind, objects.size(),
+                                                   std::span(Rows), errors));
+    }
+}
+
+constexpr std::array<array_row<published_objects>, 4> object_arrays{{
+    {"service",
+     read_array<published_objects, &published_objects::services, service_rows>},
+    {"data_centre",
+     read_array<published_objects, &published_objects::data_centres,
+                data_centre_rows>},
+    {"target",
+     read_array<published_objects, &published_objects::targets, target_rows>},
+    {"reference", read_array<published_objects, &published_objects::references,
+                             reference_rows>},
+}};
+
+constexpr std::array<array_row<index_document>, 1> index_arrays{{
+    {"chunk", read_array<index_document, &index_document::chunks, chunk_rows>},
+}};
+
+/// Reads the arrays of tables of `document`. Returns all other top-level keys.
+template <class Whole, std::size_t Size>
+toml::value read_arrays(const toml::value& document,
+                        const std::array<array_row<Whole>, Size>& rows,
+                        Whole& whole, document_errors& errors)
+{
+    toml::value rest = toml::table{};
+    for (const auto& [key, value] : document.as_table())
+    {
+        const auto row = std::ranges::find(rows, key, &array_row<Whole>::key);
+        if (row != rows.end())
+        {
+            row->read(value, row->key, whole, errors);
+        }
+        else
+        {
+            rest.as_table().emplace(key, value);
+        }
+    }
+    return rest;
+}
+
+bool is_content_hash(std::string_view text)
+{
+    return text.size() == 16 &&
+           text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
+/// Chunk names are part of a URL path.
+bool is_chunk_name(std::string_view text)
+{
+    return !text.empty() && text.size() <= 64 && text.front() != '.' &&
+           text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-_.") ==
+               std::string_view::npos;
+}
+
+void check_chunks(const index_document& index, document_errors& errors)
+{
+    std::set<std::string_view> names;
+    std::uint64_t total = 0;
+    for (std::size_t i = 0; i < index.chunks.size(); ++i)
+    {
+        const chunk_entry& each = index.chunks[i];
+        const std::string label = "chunk #" + std::to_string(i + 1);
+        const auto require = [&](bool kept, std::string field, std::string rule,
+                                 std::string message)
+        {
+            if (!kept)
+            {
+                errors.add(0, label, std::move(field),
+                           {std::move(rule), std::move(message)});
+            }
+        };
+        require(is_chunk_name(each.name), "name", "chunk_name",
+                "must be 1 to 64 of a-z, 0-9, '-', '_' and '.', not starting "
+                "with '.'");
+        require(is_content_hash(each.hash), "hash", "chunk_hash",
+                "must be 16 lower-case hexadecimal digits");
+        require(each.size <= max_document_size, "size", "chunk_size",
+                "is above 1 MB");
+        require(names.insert(each.name).second, "name", "duplicate_chunk",
+                "'" + each.name + "' is named twice");
+        total += each.size;
+    }
+    if (index.chunks.size() > max_chunks)
+    {
+        errors.add(0, "", "chunk",
+                   {"chunk_count", "names more than " +
+                                       std::to_string(max_chunks) + " chunks"});
+    }
+    if (total > max_set_size)
+    {
+        errors.add(0, "", "chunk",
+                   {"set_size", "the chunks hold more than " +
+                                    std::to_string(max_set_size) + " bytes"});
+    }
+}
+
+template <class T>
+parsed<T> result_of(T value, const document_errors& errors)
+{
+    if (!errors.list().empty())
+    {
+        return errors.list();
+    }
+    return value;
+}
+
+} // namespace
+
+std::string content_hash(std::string_view text)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    const std::uint64_t hash = XXH64(text.data(), text.size(), 0);
+    std::string result;
+    for (int shift = 60; shift >= 0; shift -= 4)
+    {
+        result += digits[(hash >> static_cast<unsigned>(shift)) & 0xfU];
+    }
+    return result;
+}
+
+parsed<index_document> parse_index(std::string_view text,
+                                   const std::string& name)
+{
+    const auto document = parse_toml(text, name, max_document_size);
+    if (const auto* error = std::get_if<document_error>(&document))
+    {
+        return std::vector{*error};
+    }
+    document_errors errors(name, max_document_errors);
+    index_document arrays;
+    const toml::value rest = read_arrays(std::get<toml::value>(document),
+                                         index_arrays, arrays, errors);
+    index_document index = read_object<index_document>(
+        rest, "", 0, std::span<const field_row<index_document>>(index_rows),
+        errors);
+    index.chunks = std::move(arrays.chunks);
+    if (errors.list().empty())
+    {
+        check_chunks(index, errors);
+    }
+    return result_of(std::move(index), errors);
+}
+
+parsed<published_objects> parse_chunk(std::string_view text,
+                                      const std::string& name)
+{
+    const auto document = parse_toml(text, name, max_document_size);
+    if (const auto* error = std::get_if<document_error>(&document))
+    {
+        return std::vector{*error};
+    }
+    document_errors errors(name, max_document_errors);
+    published_objects objects;
+    const toml::value rest = read_arrays(std::get<toml::value>(document),
+                                         object_arrays, objects, errors);
+    struct nothing
+    {
+    };
+    read_object<nothing>(rest, "", 0, {}, errors);
+    return result_of(std::move(objects), errors);
+}
+
+parsed<published_objects> parse_whole_set(std::string_view text,
+                                          const std::string& name)
+{
+    const auto document = parse_toml(text, name, max_set_size);
+    if (const auto* error = std::get_if<document_error>(&document))
+    {
+        return std::vector{*error};
+    }
+    document_errors errors(name, max_document_errors);
+    published_objects objects;
+    const toml::value rest = read_arrays(std::get<toml::value>(document),
+                                         object_arrays, objects, errors);
+    const auto index = read_object<index_document>(
+        rest, "", 0, std::span<const field_row<index_document>>(index_rows),
+        errors);
+    objects.version = index.version;
+    objects.published_by = index.published_by;
+    return result_of(std::move(objects), errors);
+}
+
+published_objects merge(published_objects whole, const published_objects& part)
+{
+    const auto append = [](auto& to, const auto& from)
+    {
+        to.insert(to.end(), from.begin(), from.end());
+    };
+    append(whole.services, part.services);
+    append(whole.data_centres, part.data_centres);
+    append(whole.targets, part.targets);
+    append(whole.references, part.references);
+    return whole;
+}
+
+} // namespace catkinkeel
--- /dev/null
+++ b/catkinkeel/contract/internal/rules.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+// What rows of rule tables have in common.
+
+#include "catkinkeel/contract/check.hpp"
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+namespace catkinkeel::internal
+{
+
+inline object_kind kind_of(const service& /*object*/)
+{
+    return object_kind::service;
+}
+inline object_kind kind_of(const data_centre& /*object*/)
+{
+    return object_kind::data_centre;
+}
+inline object_kind kind_of(const target& /*object*/)
+{
+    return object_kind::target;
+}
+inline object_kind kind_of(const reference& /*object*/)
+{
+    return object_kind::reference;
+}
+
+template <class Object>
+std::string name_of(const Object& object)
+{
+    if constexpr (requires { object.name; })
+    {
+        return object.name;
+    }
+    else
+    {
+        return "";
+    }
+}
+
+/// Collects errors up to `max_object_errors`.
+class error_list
+{
+public:
+    void add(object_error error)
+    {
+        if (errors_.size() < max_object_errors)
+        {
+            errors_.push_back(std::move(error));
+        }
+    }
+
+    template <class Object>
+    void add(const Object& object, std::string_view field,
+             std::string_view rule, std::string message)
+    {
+        add({kind_of(object), object.id.value, name_of(object),
+             std::string(field), std::string(rule), std::move(message)});
+    }
+
+    [[nodiscard]] std::vector<object_error> take() &&
+    {
+        return std::move(errors_);
+    }
+
+private:
+    std::vector<object_error> errors_;
+};
+
+/// The objects with the look-ups that rules share.
+struct rule_input
+{
+    explicit rule_input(const published_objects& all);
+
+    const published_objects& objects;
+    const published_set* previous = nullptr;
+    std::unordered_map<service_id, const service*> services;
+    std::unordered_map<data_centre_id, const data_centre*> data_centres;
+    std::unordered_set<service_id> services_with_targets;
+    std::unordered_set<service_id> services_with_references;
+
+    [[nodiscard]] bool in_service(data_centre_id id) const;
+    /// "service 3 (orderdesk)".
+    [[nodiscard]] std::string label(service_id id) const;
+};
+
+/// A rule of the set: its identifier and the function that checks it.
+struct rule_row
+{
+    std::string_view id;
+    void (*check)(const rule_input&, std::string_view id, error_list&);
+};
+
+} // namespace catkinkeel::internal
