Encode the fields that replication and claims gained

Cause: replicate names a lineage and dropped overrides, claims and handovers carry the fingerprint of the bucket map; the codec's table lacked them. The round trip of every message type passes again. flow_outgoing is renamed since packet has its own outgoing datagram.

--- a/catkinkeel/flow/balancer.hpp
+++ b/catkinkeel/flow/balancer.hpp
@@ -9,7 +9,7 @@
 //   core.apply_set(set, now);
 //   core.apply_view(view, now);
 //   verdict v = core.decide(facts, now);
-//   for (outgoing& out : core.take_messages({1500}, now)) { send(out); }
+//   for (flow_outgoing& out : core.take_messages({1500}, now)) { send(out); }
 
 #include "catkinkeel/base/byte_count.hpp"
 #include "catkinkeel/base/time.hpp"
@@ -59,12 +59,12 @@
     std::variant<replicate, replicate_ack, claim, handover, handover_ack>;
 
 /// A message for another VM.
-struct outgoing
+struct flow_outgoing
 {
     vm_id to;
     flow_message content;
 
-    friend bool operator==(const outgoing&, const outgoing&) = default;
+    friend bool operator==(const flow_outgoing&, const flow_outgoing&) = default;
 };
 
 /// Counters since the start, and gauges.
@@ -145,7 +145,7 @@
 
     /// Messages to send now. Replication and handovers keep within `budget`;
     /// claims and acknowledgements are always sent.
-    std::vector<outgoing> take_messages(byte_count budget, instant now);
+    std::vector<flow_outgoing> take_messages(byte_count budget, instant now);
 
     /// Periodic work, about each 100 ms: forgets idle flows, drops overrides.
     void tick(instant now);
@@ -304,9 +304,9 @@
     void restart_stream(vm_id standby);
     void offer_buckets_of_others(instant now);
     void pump_handovers(byte_count& budget, instant now,
-                        std::vector<outgoing>& out);
+                        std::vector<flow_outgoing>& out);
     void pump_streams(byte_count& budget, instant now,
-                      std::vector<outgoing>& out);
+                      std::vector<flow_outgoing>& out);
     struct handover_part
     {
         bucket_state state;
@@ -365,7 +365,7 @@
         bool all_flows = false;
     };
     std::map<vm_id, handover_to> handovers_;
-    std::vector<outgoing> replies_;
+    std::vector<flow_outgoing> replies_;
     bool standbys_stale_ = false;
 
     std::size_t sweep_at_ = 0;
--- a/catkinkeel/flow/balancer_peers.cpp
+++ b/catkinkeel/flow/balancer_peers.cpp
@@ -546,9 +546,9 @@
     drop_flows_not_held();
 }
 
-std::vector<outgoing> balancer::take_messages(byte_count budget, instant now)
+std::vector<flow_outgoing> balancer::take_messages(byte_count budget, instant now)
 {
-    std::vector<outgoing> out;
+    std::vector<flow_outgoing> out;
     if (!context_.set)
     {
         return out;
@@ -603,7 +603,7 @@
 }
 
 void balancer::pump_handovers(byte_count& budget, instant now,
-                              std::vector<outgoing>& out)
+                              std::vector<flow_outgoing>& out)
 {
     for (auto& [vm, to] : handovers_)
     {
@@ -695,7 +695,7 @@
 // Replication
 
 void balancer::pump_streams(byte_count& budget, instant now,
-                            std::vector<outgoing>& out)
+                            std::vector<flow_outgoing>& out)
 {
     for (auto& [vm, stream] : streams_)
     {
--- a/catkinkeel/link/internal/wire_fields.hpp
+++ b/catkinkeel/link/internal/wire_fields.hpp
@@ -26,6 +26,12 @@
                                         &public_address::transport};
 };
 
+template <>
+struct wire_fields<base_key>
+{
+    static constexpr std::tuple members{&base_key::address, &base_key::home};
+};
+
 template <>
 struct wire_fields<base_override>
 {
@@ -84,7 +90,7 @@
 {
     static constexpr std::tuple members{
         &replicate::session, &replicate::sequence, &replicate::in_effect,
-        &replicate::state};
+        &replicate::lineage, &replicate::dropped,  &replicate::state};
 };
 
 template <>
@@ -97,16 +103,18 @@
 template <>
 struct wire_fields<claim>
 {
-    static constexpr std::tuple members{&claim::session, &claim::round,
-                                        &claim::in_effect};
+    static constexpr std::tuple members{
+        &claim::session, &claim::round, &claim::in_effect,
+        &claim::map_fingerprint, &claim::holding};
 };
 
 template <>
 struct wire_fields<handover>
 {
-    static constexpr std::tuple members{&handover::session,   &handover::round,
-                                        &handover::sequence,  &handover::last,
-                                        &handover::in_effect, &handover::state};
+    static constexpr std::tuple members{
+        &handover::session, &handover::round,     &handover::sequence,
+        &handover::last,    &handover::in_effect, &handover::map_fingerprint,
+        &handover::state};
 };
 
 template <>
--- a/catkinkeel/testing/fake_group.cpp
+++ b/catkinkeel/testing/fake_group.cpp
@@ -264,7 +264,7 @@
                  each.budget + settings_.control_rate * passed.count());
     const byte_count budget{
         static_cast<std::uint64_t>(std::max(0.0, each.budget))};
-    for (const outgoing& message : each.core->take_messages(budget, now_))
+    for (const flow_outgoing& message : each.core->take_messages(budget, now_))
     {
         const std::uint64_t bytes = size_of(message.content);
         each.bytes += bytes;
@@ -273,7 +273,7 @@
     }
 }
 
-void fake_group::post(vm_id from, const outgoing& message)
+void fake_group::post(vm_id from, const flow_outgoing& message)
 {
     const link_conditions& link = settings_.link;
     if (cut_between(from, message.to))
--- a/catkinkeel/testing/fake_group.hpp
+++ b/catkinkeel/testing/fake_group.hpp
@@ -155,7 +155,7 @@
     };
 
     void step();
-    void post(vm_id from, const outgoing& message);
+    void post(vm_id from, const flow_outgoing& message);
     void deliver_due();
     void update_views();
     void serve(vm& each);
