Add the daemon: one thread a duty, joined by bounded rings (not yet built)

Receive, decide, peers, configuration, index watch, chunk and report readers, VM list and clock each have a thread; the operators' HTTP runs on CivetWeb's.

--- /dev/null
+++ b/apps/catkinkeeld.cpp
@@ -0,0 +1,115 @@
+// The daemon of one entry VM.
+
+#include "catkinkeel/daemon/clock.hpp"
+#include "catkinkeel/daemon/daemon.hpp"
+#include "catkinkeel/operators/documents.hpp"
+
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <string>
+
+namespace
+{
+
+using namespace catkinkeel;
+
+enum exit_code : int
+{
+    success = 0,
+    cannot_start = 1,
+    wrong_usage = 2
+};
+
+/// Signals are blocked before any thread starts, and taken by `sigwait` only.
+sigset_t block_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int each : {SIGTERM, SIGINT, SIGHUP})
+    {
+        sigaddset(&signals, each);
+    }
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+int run(const daemon_settings& settings, const sigset_t& signals)
+{
+    const auto events = std::make_shared<reporter>(std::make_shared<event_log>(
+        boost_log_sink::to_stderr(settings.log_encoding, settings.log_level),
+        settings.audit_capacity));
+    const auto started = entry_daemon::start(settings, events);
+    if (!started)
+    {
+        events->report(event_number::startup_failed,
+                       {field("reason", started.error().message)});
+        return cannot_start;
+    }
+    for (;;)
+    {
+        int signal = 0;
+        sigwait(&signals, &signal);
+        if (signal != SIGHUP)
+        {
+            started.value()->shut_down();
+            return success;
+        }
+        started.value()->reload_keys();
+    }
+}
+
+int check_and_run(const std::string& file, bool only_check)
+{
+    const auto text = read_settings_text(file);
+    if (!text)
+    {
+        std::cerr << text.error().message << '\n';
+        return cannot_start;
+    }
+    const settings_result parsed = parse_settings(text.value());
+    if (const auto* problems =
+            std::get_if<std::vector<settings_problem>>(&parsed))
+    {
+        for (const settings_problem& each : *problems)
+        {
+            std::cerr << file << ": " << to_string(each) << '\n';
+        }
+        return cannot_start;
+    }
+    if (only_check)
+    {
+        return success;
+    }
+    const sigset_t signals = block_signals();
+    return run(std::get<daemon_settings>(parsed), signals);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        TCLAP::CmdLine line("The catkinkeel daemon of one entry VM", ' ',
+                            std::string(release()));
+        const TCLAP::ValueArg<std::string> file(
+            "s", "settings", "Settings file (TOML)", true, "", "FILE", line);
+        const TCLAP::SwitchArg check(
+            "c", "check", "Check the settings file and exit", line);
+        line.setExceptionHandling(false);
+        line.parse(argc, argv);
+        return check_and_run(file.getValue(), check.getValue());
+    }
+    catch (const TCLAP::ArgException& problem)
+    {
+        std::cerr << problem.argId() << ": " << problem.error() << '\n';
+        return wrong_usage;
+    }
+    catch (const TCLAP::ExitException& request)
+    {
+        return request.getExitStatus();
+    }
+}
--- /dev/null
+++ b/catkinkeel/daemon/decider_snapshot.cpp
@@ -0,0 +1,239 @@
+// What the decide thread shows to operators, once a second.
+
+#include "catkinkeel/daemon/decider.hpp"
+#include "catkinkeel/operators/names.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace catkinkeel
+{
+
+namespace
+{
+
+/// Names of `metric_definitions` for datagrams that cannot be read.
+std::string drop_name(reject_reason reason)
+{
+    switch (reason)
+    {
+    case reject_reason::truncated:
+        return "truncated";
+    case reject_reason::fragment:
+        return "fragment";
+    case reject_reason::unsupported_protocol:
+    case reject_reason::unsupported_icmp:
+        return "unsupported_protocol";
+    default:
+        return "malformed";
+    }
+}
+
+event_number event_of(bearing_reason reason)
+{
+    switch (reason)
+    {
+    case bearing_reason::ramping:
+        return event_number::target_ramping;
+    case bearing_reason::draining:
+        return event_number::target_draining;
+    case bearing_reason::unreachable:
+        return event_number::target_unreachable;
+    case bearing_reason::cold_not_steward:
+        return event_number::target_cold;
+    default:
+        return event_number::target_warm;
+    }
+}
+
+/// Flows of the busiest warm target of a service against their mean, the
+/// highest of all services.
+double load_ratio(const std::vector<target_view>& targets)
+{
+    struct sum
+    {
+        std::uint64_t held = 0;
+        std::uint64_t most = 0;
+        std::uint64_t count = 0;
+    };
+    std::map<service_id, sum> services;
+    for (const target_view& each : targets)
+    {
+        if (each.reason == bearing_reason::warm)
+        {
+            sum& of = services[each.service];
+            of.held += each.held;
+            of.most = std::max<std::uint64_t>(of.most, each.held);
+            ++of.count;
+        }
+    }
+    double highest = 0;
+    for (const auto& [id, of] : services)
+    {
+        if (of.held > 0)
+        {
+            const double mean =
+                static_cast<double>(of.held) / static_cast<double>(of.count);
+            highest = std::max(highest, static_cast<double>(of.most) / mean);
+        }
+    }
+    return highest;
+}
+
+} // namespace
+
+void decider::publish_snapshot(instant now)
+{
+    decide_snapshot shown;
+    shown.in_effect = core_.set_in_effect() ? core_.set_in_effect()->version()
+                                            : set_version{};
+    shown.flows = core_.stats();
+    shown.flow_capacity = settings_.flow_capacity;
+    shown.buckets = view_buckets();
+    shown.data_centres = view_data_centres();
+    shown.targets = view_targets(now);
+    for (const auto& [reason, count] : refused_)
+    {
+        shown.refused.push_back({std::string(name_of(reason)), count});
+    }
+    for (const auto& [reason, count] : discarded_)
+    {
+        shown.dropped.push_back({std::string(name_of(reason)), count});
+    }
+    for (const auto& row : reject_reason_rows)
+    {
+        if (const std::uint64_t count = rejected_.of(row.reason))
+        {
+            shown.dropped.push_back({drop_name(row.reason), count});
+        }
+    }
+    shown.received = received_;
+    shown.delivered = delivered_;
+    shown.relayed = relayed_;
+    shown.target_load_ratio = load_ratio(shown.targets);
+    shown.may_open = may_open_;
+    shown.pauses = pauses_;
+    report_target_changes(shown.targets);
+    if (shown.flows.buckets_handed_over != last_stats_.buckets_handed_over)
+    {
+        parts_.events->report(
+            event_number::buckets_handed_over,
+            {field("buckets", shown.flows.buckets_handed_over -
+                                  last_stats_.buckets_handed_over),
+             field("exceptions", std::string("their")),
+             field("vm", std::string("of their owners"))});
+    }
+    last_stats_ = shown.flows;
+    parts_.board->holdings_settled = core_.holdings_settled();
+    parts_.board->decide.put(std::move(shown));
+}
+
+std::vector<target_view> decider::view_targets(instant now)
+{
+    std::vector<target_view> shown;
+    const published_set_ptr& set = core_.set_in_effect();
+    if (!set)
+    {
+        return shown;
+    }
+    for (const target& each : set->objects().targets)
+    {
+        const target_knowledge* known = targets_.knowledge_of(each.id);
+        const std::uint32_t held = core_.held_on(each.id);
+        const bearing now_bears = targets_.bearing_of(
+            each, core_.capacity_share(each.id), held, now);
+        target_view view{.id = each.id,
+                         .service = each.service,
+                         .data_centre = each.data_centre,
+                         .address = each.address,
+                         .wish = each.wish,
+                         .reason = now_bears.reason,
+                         .limit = now_bears.limit,
+                         .held = held};
+        if (known != nullptr)
+        {
+            view.connections = known->connections;
+            view.busy_slots = known->busy_slots;
+            view.report_age_ms = static_cast<std::uint64_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    now - known->last_sign)
+                    .count());
+        }
+        shown.push_back(view);
+    }
+    return shown;
+}
+
+bucket_status decider::view_buckets() const
+{
+    bucket_status shown;
+    const bucket_map& map = core_.map();
+    for (std::uint32_t i = 0; i < bucket_count; ++i)
+    {
+        const bucket_id bucket{static_cast<std::uint16_t>(i)};
+        const bool owned = map.owner(bucket) == settings_.id;
+        shown.held += core_.holds(bucket) ? 1U : 0U;
+        shown.owned += owned ? 1U : 0U;
+        shown.awaited += owned && !core_.holds(bucket) ? 1U : 0U;
+        shown.standby += map.standby(bucket) == settings_.id ? 1U : 0U;
+    }
+    return shown;
+}
+
+std::vector<data_centre_status> decider::view_data_centres() const
+{
+    std::vector<data_centre_status> shown;
+    const published_set_ptr& set = core_.set_in_effect();
+    if (!set)
+    {
+        return shown;
+    }
+    std::map<data_centre_id, std::uint32_t> owned;
+    for (std::uint32_t i = 0; i < bucket_count; ++i)
+    {
+        const auto owner = core_.map().owner({static_cast<std::uint16_t>(i)});
+        const member* at = owner ? view_.find(*owner) : nullptr;
+        owned[at == nullptr ? data_centre_id{} : at->data_centre] += 1;
+    }
+    for (const data_centre& each : set->objects().data_centres)
+    {
+        const auto live = std::ranges::count_if(
+            view_.members, [&](const member& vm)
+            { return vm.data_centre == each.id && vm.may_own(); });
+        shown.push_back({each.id, each.name, each.wish,
+                         static_cast<std::uint32_t>(live), owned[each.id]});
+    }
+    return shown;
+}
+
+void decider::report_target_changes(const std::vector<target_view>& targets)
+{
+    std::map<target_id, bearing_reason> reasons;
+    for (const target_view& each : targets)
+    {
+        reasons[each.id] = each.reason;
+        const auto before = last_reasons_.find(each.id);
+        if (before == last_reasons_.end() || before->second == each.reason ||
+            event_of(before->second) == event_of(each.reason))
+        {
+            continue;
+        }
+        const target_knowledge* known = targets_.knowledge_of(each.id);
+        parts_.events->report(
+            event_of(each.reason),
+            {field("target", each.id.value), field("limit", each.limit),
+             field("flows", each.held),
+             field("instance", known != nullptr ? known->instance.value_or(0)
+                                                : std::uint64_t{0}),
+             field("cause", std::string(each.wish == target_wish::drain
+                                            ? "published"
+                                            : "load report")),
+             field("reason", std::string("no report"))},
+            {.version = parts_.board->decide.get()->in_effect,
+             .cause = "load report or published set"});
+    }
+    last_reasons_ = std::move(reasons);
+}
+
+} // namespace catkinkeel
--- /dev/null
+++ b/catkinkeel/daemon/status_board.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+// Where the daemon's threads leave snapshots of their state for the operators'
+// HTTP.
+
+#include "catkinkeel/base/byte_count.hpp"
+#include "catkinkeel/flow/balancer.hpp"
+#include "catkinkeel/link/drop.hpp"
+#include "catkinkeel/operators/documents.hpp"
+#include "catkinkeel/operators/metrics.hpp"
+#include "catkinkeel/packet/udp_socket.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace catkinkeel
+{
+
+/// A value that one thread replaces and others read. Safe from any thread.
+template <class T>
+class shared_value
+{
+public:
+    void put(T value)
+    {
+        auto next = std::make_shared<const T>(std::move(value));
+        const std::lock_guard lock(mutex_);
+        value_ = std::move(next);
+    }
+
+    /// Never null.
+    [[nodiscard]] std::shared_ptr<const T> get() const
+    {
+        const std::lock_guard lock(mutex_);
+        return value_;
+    }
+
+private:
+    mutable std::mutex mutex_;
+    std::shared_ptr<const T> value_ = std::make_shared<const T>();
+};
+
+/// State of the decide thread.
+struct decide_snapshot
+{
+    set_version in_effect;
+    balancer_stats flows;
+    std::uint64_t flow_capacity = 0;
+    bucket_status buckets;
+    std::vector<data_centre_status> data_centres;
+    std::vector<target_view> targets;
+    std::vector<reason_count> refused;
+    std::vector<reason_count> dropped;
+    std::uint64_t received = 0;
+    std::uint64_t delivered = 0;
+    std::uint64_t relayed = 0;
+    double target_load_ratio = 0;
+    bool may_open = false;
+    std::uint64_t pauses = 0;
+};
+
+/// State of the peers thread.
+struct peers_snapshot
+{
+    std::vector<member_status> members;
+    std::optional<duration> list_age;
+    byte_count sent;
+    byte_count sent_last_minute;
+    std::vector<reason_count> dropped_messages;
+};
+
+/// State of the configuration threads.
+struct configuration_snapshot
+{
+    set_status set;
+    std::uint64_t refused = 0;
+    std::uint64_t older_ignored = 0;
+};
+
+/// All snapshots, and values that several threads need at once.
+struct status_board
+{
+    shared_value<decide_snapshot> decide;
+    shared_value<peers_snapshot> peers;
+    shared_value<configuration_snapshot> configuration;
+    /// View of the peers thread, for the threads that choose readers by it.
+    shared_value<member_view> view;
+    std::atomic<std::uint64_t> in_effect{0};
+    std::atomic<bool> shutting_down{false};
+    /// Nothing is held here any more that another VM owns.
+    std::atomic<bool> holdings_settled{false};
+    std::atomic<std::int64_t> last_packet_at{0};
+    std::atomic<bool> configuration_up{false};
+    std::atomic<bool> vm_list_up{false};
+    std::atomic<std::uint64_t> control_refused{0};
+};
+
+/// The daemon's identity and start, for documents.
+struct daemon_facts
+{
+    vm_id vm;
+    std::string name;
+    data_centre_id data_centre;
+    wall_time started_at;
+    byte_count control_budget;
+};
+
+status_document make_status(const status_board& board,
+                            const daemon_facts& facts, wall_time now);
+
+metrics_snapshot make_metrics(const status_board& board,
+                              const daemon_facts& facts);
+
+} // namespace catkinkeel
--- a/catkinkeel/flow/balancer.cpp
+++ b/catkinkeel/flow/balancer.cpp
@@ -406,6 +406,27 @@
     return found == held_.end() ? 0 : found->second;
 }
 
+double balancer::capacity_share(target_id id) const
+{
+    const target* found =
+        context_.set ? context_.set->find_target(id) : nullptr;
+    if (found == nullptr)
+    {
+        return 0;
+    }
+    const auto load = loads_.find(found->service);
+    if (load == loads_.end())
+    {
+        // No flow of the service was opened here since the last change.
+        return 1.0 / static_cast<double>(std::max<std::size_t>(
+                         1, view_.members.size()));
+    }
+    const auto at =
+        std::ranges::find(load->second.targets, id,
+                          [](const target_load& l) { return l.what->id; });
+    return at == load->second.targets.end() ? 0 : at->capacity_share;
+}
+
 balancer::service_load balancer::make_load(service_id service) const
 {
     service_load load;
@@ -609,6 +630,7 @@
     explanation why{.result = discard{discard_reason::not_ready},
                     .rule = "no published set in effect",
                     .bucket = bucket,
+                    .home = map_.home(bucket),
                     .owner = map_.owner(bucket),
                     .standby = map_.standby(bucket),
                     .held_here = slot.held,
@@ -617,6 +639,12 @@
     {
         return why;
     }
+    if (const reference* found = context_.set->find_reference(
+            facts.key.service_side, facts.key.transport))
+    {
+        why.reference = found->id;
+        why.service = found->service;
+    }
     if (!slot.held)
     {
         why.result = route_to_holder(facts, bucket);
@@ -627,6 +655,7 @@
     {
         why.result = deliver_to(record->target);
         why.rule = "flow record";
+        why.has_record = true;
         return why;
     }
     const base_key key = key_of(facts.key, bucket);
@@ -652,7 +681,15 @@
     all.replicas_held = replicas_.exception_count();
     for (const lineage& each : lineages_)
     {
-        all.overrides += each.buckets > 0 ? each.base.overrides().size() : 0;
+        if (each.buckets == 0)
+        {
+            continue;
+        }
+        all.overrides += each.base.overrides().size();
+        for (const auto& [key, table] : each.base.overrides())
+        {
+            all.mixed_references += each.base.mixed(key, context_) ? 1U : 0U;
+        }
     }
     return all;
 }
--- a/catkinkeel/flow/balancer.hpp
+++ b/catkinkeel/flow/balancer.hpp
@@ -75,12 +75,15 @@
     std::uint64_t base_followers = 0;
     std::uint64_t buckets_taken_over = 0;
     std::uint64_t buckets_handed_over = 0;
+    std::uint64_t buckets_received = 0;
     std::uint64_t overrides_dropped = 0;
     std::uint64_t flows = 0;
     std::uint64_t buckets_held = 0;
     std::uint64_t replication_backlog = 0;
     std::uint64_t replicas_held = 0;
     std::uint64_t overrides = 0;
+    /// Base tables that name another service than the set in effect.
+    std::uint64_t mixed_references = 0;
 
     friend auto operator<=>(const balancer_stats&,
                             const balancer_stats&) = default;
@@ -92,6 +95,11 @@
     verdict result;
     std::string rule;
     bucket_id bucket;
+    data_centre_id home;
+    /// Reference of the public address in the set in effect, and its service.
+    std::optional<reference_id> reference;
+    std::optional<service_id> service;
+    bool has_record = false;
     std::optional<vm_id> owner;
     std::optional<vm_id> standby;
     bool held_here = false;
@@ -156,6 +164,15 @@
     /// Flows held here on a target.
     [[nodiscard]] std::uint32_t held_on(target_id id) const;
 
+    /// This VM's part of a target's flows, in [0, 1]; the parts of all VMs sum
+    /// to at most 1.
+    [[nodiscard]] double capacity_share(target_id id) const;
+
+    [[nodiscard]] bool holds(bucket_id bucket) const
+    {
+        return buckets_[bucket.value].held;
+    }
+
     [[nodiscard]] balancer_stats stats() const;
     [[nodiscard]] const published_set_ptr& set_in_effect() const
     {
--- a/catkinkeel/flow/balancer_peers.cpp
+++ b/catkinkeel/flow/balancer_peers.cpp
@@ -511,6 +511,7 @@
                  .by_failover = false});
         }
         hold(bucket, *index);
+        ++counters_.buckets_received;
     }
     adopt_exceptions(offer.state.exceptions, now);
     replies_.push_back(
--- a/catkinkeel/packet/batch_queue.hpp
+++ b/catkinkeel/packet/batch_queue.hpp
@@ -67,6 +67,11 @@
         empty_.try_push(std::move(batch));
     }
 
+    [[nodiscard]] bool closed() const
+    {
+        return filled_.closed();
+    }
+
     /// Ends both threads.
     void close()
     {
--- a/catkinkeel/ring/bounded_ring.hpp
+++ b/catkinkeel/ring/bounded_ring.hpp
@@ -101,6 +101,12 @@
         return refused_.load(std::memory_order_relaxed);
     }
 
+    [[nodiscard]] bool closed() const
+    {
+        const std::lock_guard lock(mutex_);
+        return closed_;
+    }
+
     [[nodiscard]] std::size_t size() const
     {
         const std::lock_guard lock(mutex_);
--- a/catkinkeel/settings/settings.hpp
+++ b/catkinkeel/settings/settings.hpp
@@ -50,6 +50,7 @@
 
     endpoint configuration;
     endpoint vm_list;
+    std::chrono::seconds vm_list_lag{30};
     std::string key_file;
     std::vector<peer_settings> peers;
 
