--- a/catkinkeel/settings/parse.cpp
+++ b/catkinkeel/settings/parse.cpp
@@ -3,6 +3,7 @@
 #include <toml.hpp>
 
 #include <algorithm>
+#include <array>
 #include <exception>
 #include <fstream>
 #include <map>
@@ -459,24 +460,28 @@
     }
 }
 
-outcome<std::string> read_settings_text(const std::string& path)
+outcome<std::string> read_text_file(const std::string& path, byte_count limit)
 {
     std::ifstream file(path, std::ios::binary);
-    std::string text(settings_size_limit.value + 1, '\0');
-    if (!file ||
-        (!file.read(text.data(), static_cast<std::streamsize>(text.size())) &&
-         !file.eof()))
+    std::string text;
+    std::array<char, 16384> part{};
+    while (file && text.size() <= limit.value)
     {
-        return failure{failure_kind::unavailable, path + " cannot be read"};
+        file.read(part.data(), part.size());
+        text.append(part.data(), static_cast<std::size_t>(file.gcount()));
     }
-    text.resize(static_cast<std::size_t>(file.gcount()));
-    if (text.size() > settings_size_limit.value)
+    if (text.size() > limit.value)
     {
         return failure{failure_kind::limit_exceeded,
-                       path + " is longer than " +
-                           std::to_string(settings_size_limit.value) +
+                       path + " is longer than " + std::to_string(limit.value) +
                            " bytes"};
     }
+    // A stream that was read to its end has both bits set; one that could not
+    // be opened, or a directory, lacks the first.
+    if (!file.eof())
+    {
+        return failure{failure_kind::unavailable, path + " can't be read"};
+    }
     return text;
 }
 
--- a/catkinkeel/settings/settings.hpp
+++ b/catkinkeel/settings/settings.hpp
@@ -101,9 +101,9 @@
 /// Parses and checks the whole text. Never throws.
 settings_result parse_settings(std::string_view text);
 
-/// Text of the file. Fails with `unavailable` if it cannot be read and with
-/// `limit_exceeded` above `settings_size_limit`.
-outcome<std::string> read_settings_text(const std::string& path);
+/// Text of a file. Fails with `unavailable` if it can't be read and with
+/// `limit_exceeded` if it is longer than `limit`.
+outcome<std::string> read_text_file(const std::string& path, byte_count limit);
 
 /// The page docs/settings.md.
 std::string settings_markdown();
--- a/catkinkeel/settings/settings_test.cpp
+++ b/catkinkeel/settings/settings_test.cpp
@@ -13,7 +13,8 @@
 
 std::string source_file(const std::string& name)
 {
-    return read_settings_text(CATKINKEEL_SOURCE_DIR "/" + name).value();
+    return read_text_file(CATKINKEEL_SOURCE_DIR "/" + name, settings_size_limit)
+        .value();
 }
 
 std::string exlibris()
@@ -102,6 +103,17 @@
     CHECK(settings.peers.empty());
 }
 
+TEST_CASE("a file that can't be read or is too long is a failure")
+{
+    const std::string docs = CATKINKEEL_SOURCE_DIR "/docs";
+    CHECK(read_text_file(docs + "/none", {100}).error().kind ==
+          failure_kind::unavailable);
+    CHECK(read_text_file(docs, {100}).error().kind ==
+          failure_kind::unavailable);
+    CHECK(read_text_file(docs + "/design.md", {100}).error().kind ==
+          failure_kind::limit_exceeded);
+}
+
 TEST_CASE("every problem of a file is reported at once with its line")
 {
     CHECK(problems_of("[vm]\n"
