--- a/apps/catkinkeeld.cpp
+++ b/apps/catkinkeeld.cpp
@@ -97,8 +97,8 @@
                             std::string(release()));
         const TCLAP::ValueArg<std::string> file(
             "s", "settings", "Settings file (TOML)", true, "", "FILE", line);
-        const TCLAP::SwitchArg check(
-            "c", "check", "Check the settings file and exit", line);
+        const TCLAP::SwitchArg check("c", "check",
+                                     "Check the settings file and exit", line);
         line.setExceptionHandling(false);
         line.parse(argc, argv);
         return check_and_run(file.getValue(), check.getValue());
--- a/catkinkeel/daemon/configuration_duty.cpp
+++ b/catkinkeel/daemon/configuration_duty.cpp
@@ -56,7 +56,8 @@
 
 configuration_duty::configuration_duty(const daemon_settings& settings,
                                        configuration_parts parts)
-    : settings_(settings), parts_(std::move(parts)),
+    : settings_(settings),
+      parts_(std::move(parts)),
       store_(steady_now(), random_source(wall_nanoseconds())),
       plan_(std::make_shared<const placement_plan>())
 {
@@ -156,8 +157,8 @@
                           origin);
     for (const data_centre& each : objects.data_centres)
     {
-        const bool was = !accepted.previous ||
-                         accepted.previous->in_service(each.id);
+        const bool was =
+            !accepted.previous || accepted.previous->in_service(each.id);
         const bool is = each.wish == data_centre_wish::in_service;
         if (was != is)
         {
@@ -207,8 +208,8 @@
 {
     parts_.events->report(
         event_number::chunk_mismatch,
-        {field("chunk", rejected.name.empty() ? std::string("index")
-                                              : rejected.name),
+        {field("chunk",
+               rejected.name.empty() ? std::string("index") : rejected.name),
          field("version", store_.status().candidate.value),
          field("source", source_name(rejected.source))});
 }
@@ -261,8 +262,10 @@
 
 index_watch::index_watch(const daemon_settings& settings,
                          configuration_parts parts)
-    : settings_(settings), parts_(std::move(parts)),
-      client_(settings.configuration), random_(wall_nanoseconds())
+    : settings_(settings),
+      parts_(std::move(parts)),
+      client_(settings.configuration),
+      random_(wall_nanoseconds())
 {
 }
 
@@ -310,9 +313,10 @@
             parts_.events->report(
                 event_number::configuration_reachable,
                 {field("endpoint", to_string(settings_.configuration)),
-                 field("seconds", std::chrono::duration_cast<
-                                      std::chrono::seconds>(now - lost_at_)
-                                      .count())});
+                 field("seconds",
+                       std::chrono::duration_cast<std::chrono::seconds>(
+                           now - lost_at_)
+                           .count())});
         }
         reachable_ = true;
     }
@@ -346,8 +350,7 @@
 {
     while (const auto order = parts_.chunks->pop())
     {
-        const text_answer answer =
-            client_.read_chunk(order->name, order->hash);
+        const text_answer answer = client_.read_chunk(order->name, order->hash);
         if (const auto* text = std::get_if<std::string>(&answer))
         {
             parts_.inputs->push(chunk_read{order->name, order->hash, *text});
--- a/catkinkeel/daemon/daemon.cpp
+++ b/catkinkeel/daemon/daemon.cpp
@@ -55,13 +55,14 @@
 {
     implementation(const daemon_settings& given,
                    std::shared_ptr<reporter> reports)
-        : settings(given), events(std::move(reports)),
+        : settings(given),
+          events(std::move(reports)),
           packets(std::make_shared<batch_queue>(given.packet_ring)),
           decide(std::make_shared<decide_ring>(given.control_ring)),
           configuration(
               std::make_shared<configuration_ring>(given.control_ring)),
-          inbox(std::make_shared<bounded_ring<peer_message>>(
-              given.control_ring)),
+          inbox(
+              std::make_shared<bounded_ring<peer_message>>(given.control_ring)),
           lists(std::make_shared<vm_list_ring>(list_ring_size)),
           chunks(std::make_shared<chunk_ring>(chunk_ring_size)),
           reports_due(std::make_shared<report_ring>(report_ring_size)),
@@ -141,8 +142,7 @@
     return done{};
 }
 
-configuration_parts
-entry_daemon::implementation::parts_of_configuration() const
+configuration_parts entry_daemon::implementation::parts_of_configuration() const
 {
     return {configuration, decide, chunks,      link,
             board,         events, watch_after, last_news};
@@ -151,8 +151,8 @@
 void entry_daemon::implementation::start_threads()
 {
     peers = std::make_unique<peers_duty>(
-        settings, peers_parts{inbox, lists, decide, configuration, link, board,
-                              events});
+        settings,
+        peers_parts{inbox, lists, decide, configuration, link, board, events});
     watch = std::make_unique<index_watch>(settings, parts_of_configuration());
     chunk_reads =
         std::make_unique<chunk_reader>(settings, parts_of_configuration());
@@ -163,13 +163,14 @@
     threads.emplace_back(
         [this]
         {
-            decider(settings, {packets, decide, reports_due, socket, link,
-                               board, events})
+            decider(settings,
+                    {packets, decide, reports_due, socket, link, board, events})
                 .run();
         });
     threads.emplace_back([this] { peers->run(); });
     threads.emplace_back(
-        [this] { configuration_duty(settings, parts_of_configuration()).run(); });
+        [this]
+        { configuration_duty(settings, parts_of_configuration()).run(); });
     threads.emplace_back([this] { watch->run(); });
     threads.emplace_back([this] { chunk_reads->run(); });
     threads.emplace_back([this] { report_reads->run(); });
@@ -281,9 +282,9 @@
                    self.board->decide.get()->buckets.held == 0 &&
                    steady_now() - last_packet > quiet_before_exit;
     }
-    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(
-                             steady_now() - start)
-                             .count();
+    const auto seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(steady_now() - start)
+            .count();
     if (finished)
     {
         self.events->report(event_number::shutdown_finished,
@@ -313,11 +314,10 @@
         return;
     }
     self.link->replace_keys(keys.value());
-    self.events->report(
-        event_number::key_changed,
-        {field("key", std::to_string(keys.value().current.id)),
-         field("accepted", key_names(keys.value()))},
-        origin);
+    self.events->report(event_number::key_changed,
+                        {field("key", std::to_string(keys.value().current.id)),
+                         field("accepted", key_names(keys.value()))},
+                        origin);
 }
 
 } // namespace catkinkeel
--- a/catkinkeel/daemon/decider.cpp
+++ b/catkinkeel/daemon/decider.cpp
@@ -44,7 +44,8 @@
 } // namespace
 
 decider::decider(const daemon_settings& settings, decider_parts parts)
-    : settings_(settings), parts_(std::move(parts)),
+    : settings_(settings),
+      parts_(std::move(parts)),
       targets_(std::make_shared<steward_rule>(steward_bounds_of(settings)),
                wall_nanoseconds()),
       core_(balancer_settings_of(settings), settings.id, settings.data_centre,
@@ -210,8 +211,9 @@
 {
     if (input.may_open && !may_open_)
     {
-        parts_.events->report(event_number::process_validated,
-                              {field("version", parts_.board->in_effect.load())});
+        parts_.events->report(
+            event_number::process_validated,
+            {field("version", parts_.board->in_effect.load())});
     }
     may_open_ = input.may_open;
     core_.allow_opening(input.may_open);
@@ -251,10 +253,10 @@
         static_cast<std::uint64_t>(std::max(0.0, flow_budget_))};
     for (const flow_outgoing& each : core_.take_messages(budget, now))
     {
-        peer_message letter{
-            each.to, std::visit([](const auto& content) -> message
-                                { return content; },
-                                each.content)};
+        peer_message letter{each.to,
+                            std::visit([](const auto& content) -> message
+                                       { return content; },
+                                       each.content)};
         flow_budget_ -= static_cast<double>(
             encode_message(letter.content).size() + header_cost.value);
         parts_.link->send(letter, now);
--- a/catkinkeel/daemon/decider_snapshot.cpp
+++ b/catkinkeel/daemon/decider_snapshot.cpp
@@ -141,8 +141,8 @@
     {
         const target_knowledge* known = targets_.knowledge_of(each.id);
         const std::uint32_t held = core_.held_on(each.id);
-        const bearing now_bears = targets_.bearing_of(
-            each, core_.capacity_share(each.id), held, now);
+        const bearing now_bears =
+            targets_.bearing_of(each, core_.capacity_share(each.id), held, now);
         target_view view{.id = each.id,
                          .service = each.service,
                          .data_centre = each.data_centre,
--- a/catkinkeel/daemon/operators_server.cpp
+++ b/catkinkeel/daemon/operators_server.cpp
@@ -96,7 +96,9 @@
                                    std::shared_ptr<status_board> board,
                                    std::shared_ptr<reporter> events,
                                    std::shared_ptr<decide_ring> decide)
-    : facts_(facts), board_(std::move(board)), events_(std::move(events)),
+    : facts_(facts),
+      board_(std::move(board)),
+      events_(std::move(events)),
       decide_(std::move(decide))
 {
     routes_ = {{this, "/healthz", &operators_server::health},
@@ -113,14 +115,18 @@
                        std::shared_ptr<reporter> events,
                        std::shared_ptr<decide_ring> decide)
 {
-    std::shared_ptr<operators_server> server(
-        new operators_server(facts, std::move(board), std::move(events),
-                             std::move(decide)));
+    std::shared_ptr<operators_server> server(new operators_server(
+        facts, std::move(board), std::move(events), std::move(decide)));
     const std::string port = to_string(where);
-    const std::array<const char*, 9> options{
-        "listening_ports",    port.c_str(), "num_threads", "4",
-        "request_timeout_ms", "5000",       "enable_keep_alive", "no",
-        nullptr};
+    std::array<const char*, 9> options{"listening_ports",
+                                             port.c_str(),
+                                             "num_threads",
+                                             "4",
+                                             "request_timeout_ms",
+                                             "5000",
+                                             "enable_keep_alive",
+                                             "no",
+                                             nullptr};
     const mg_callbacks callbacks{};
     server->context_ = mg_start(&callbacks, nullptr, options.data());
     if (server->context_ == nullptr)
@@ -216,13 +222,11 @@
             to_json(make_status(*board_, facts_, wall_now()))};
 }
 
-operators_server::answer
-operators_server::audit(const std::string& query) const
+operators_server::answer operators_server::audit(const std::string& query) const
 {
     const audit_query defaults;
-    const audit_query asked{
-        number_parameter(query, "after", defaults.after),
-        number_parameter(query, "limit", defaults.limit)};
+    const audit_query asked{number_parameter(query, "after", defaults.after),
+                            number_parameter(query, "limit", defaults.limit)};
     audit_document document;
     document.daemon = {facts_.vm, facts_.name, facts_.data_centre,
                        std::string(release()), wall_now()};
--- a/catkinkeel/daemon/peers_duty.cpp
+++ b/catkinkeel/daemon/peers_duty.cpp
@@ -58,7 +58,8 @@
 } // namespace
 
 peers_duty::peers_duty(const daemon_settings& settings, peers_parts parts)
-    : settings_(settings), parts_(std::move(parts)),
+    : settings_(settings),
+      parts_(std::move(parts)),
       fleet_(membership_settings{}, random_source(wall_nanoseconds()))
 {
     fleet_.start(self_of(settings));
@@ -164,11 +165,11 @@
 {
     for (const vm_outgoing& each : letters)
     {
-        parts_.link->send({each.to, std::visit([](const auto& content)
-                                                   -> message
-                                               { return content; },
-                                               each.content)},
-                          now);
+        parts_.link->send(
+            {each.to,
+             std::visit([](const auto& content) -> message { return content; },
+                        each.content)},
+            now);
     }
 }
 
@@ -194,9 +195,8 @@
             field("vm", is.id.value),
             field("data_centre", is.data_centre.value),
             field("incarnation", is.incarnation)};
-        const change_origin origin{{parts_.board->in_effect.load()},
-                                   "probes and news of members",
-                                   ""};
+        const change_origin origin{
+            {parts_.board->in_effect.load()}, "probes and news of members", ""};
         if (is.id == settings_.id)
         {
             if (was != nullptr && was->incarnation != is.incarnation)
@@ -298,8 +298,8 @@
     for (std::size_t i = 0; i < drop_reason_count; ++i)
     {
         const auto reason = static_cast<drop_reason>(i);
-        shown.dropped_messages.push_back({std::string(to_string(reason)),
-                                          parts_.link->dropped(reason)});
+        shown.dropped_messages.push_back(
+            {std::string(to_string(reason)), parts_.link->dropped(reason)});
     }
     parts_.board->peers.put(std::move(shown));
 }
--- a/catkinkeel/daemon/report_duty.cpp
+++ b/catkinkeel/daemon/report_duty.cpp
@@ -45,15 +45,14 @@
         const text_answer answer = client_.read_load(order->where);
         if (const auto* text = std::get_if<std::string>(&answer))
         {
-            decide_->push(
-                report_read{order->target, parse_load_report(*text)});
+            decide_->push(report_read{order->target, parse_load_report(*text)});
         }
         else
         {
             const auto& failed = std::get<read_failure>(answer);
-            decide_->push(report_read{
-                order->target,
-                failure{kind_of(failed.problem), failed.message}});
+            decide_->push(
+                report_read{order->target,
+                            failure{kind_of(failed.problem), failed.message}});
         }
     }
 }
@@ -68,8 +67,11 @@
                                std::shared_ptr<vm_list_ring> lists,
                                std::shared_ptr<status_board> board,
                                std::shared_ptr<reporter> events)
-    : settings_(settings), lists_(std::move(lists)), board_(std::move(board)),
-      events_(std::move(events)), client_(settings.vm_list)
+    : settings_(settings),
+      lists_(std::move(lists)),
+      board_(std::move(board)),
+      events_(std::move(events)),
+      client_(settings.vm_list)
 {
 }
 
--- a/catkinkeel/daemon/status_board.cpp
+++ b/catkinkeel/daemon/status_board.cpp
@@ -110,8 +110,8 @@
         seconds_since_epoch(configuration->set.since);
     if (configuration->set.last_refused)
     {
-        metrics.set_refused_version = static_cast<double>(
-            configuration->set.last_refused->version.value);
+        metrics.set_refused_version =
+            static_cast<double>(configuration->set.last_refused->version.value);
     }
     metrics.sets_refused = static_cast<double>(configuration->refused);
     metrics.sets_older_ignored =
--- a/catkinkeel/flow/balancer.cpp
+++ b/catkinkeel/flow/balancer.cpp
@@ -418,8 +418,8 @@
     if (load == loads_.end())
     {
         // No flow of the service was opened here since the last change.
-        return 1.0 / static_cast<double>(std::max<std::size_t>(
-                         1, view_.members.size()));
+        return 1.0 / static_cast<double>(
+                         std::max<std::size_t>(1, view_.members.size()));
     }
     const auto at =
         std::ranges::find(load->second.targets, id,
--- a/catkinkeel/flow/balancer.hpp
+++ b/catkinkeel/flow/balancer.hpp
@@ -64,7 +64,8 @@
     vm_id to;
     flow_message content;
 
-    friend bool operator==(const flow_outgoing&, const flow_outgoing&) = default;
+    friend bool operator==(const flow_outgoing&,
+                           const flow_outgoing&) = default;
 };
 
 /// Counters since the start, and gauges.
--- a/catkinkeel/flow/balancer_peers.cpp
+++ b/catkinkeel/flow/balancer_peers.cpp
@@ -547,7 +547,8 @@
     drop_flows_not_held();
 }
 
-std::vector<flow_outgoing> balancer::take_messages(byte_count budget, instant now)
+std::vector<flow_outgoing> balancer::take_messages(byte_count budget,
+                                                   instant now)
 {
     std::vector<flow_outgoing> out;
     if (!context_.set)
