--- /dev/null
+++ b/catkinkeel/platform/http_reader.cpp
@@ -0,0 +1,238 @@
+#include "catkinkeel/platform/http_reader.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <optional>
+#include <utility>
+
+namespace catkinkeel
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr unsigned max_header = 16U * 1024;
+
+/// One exchange. The handlers keep it alive.
+class exchange : public std::enable_shared_from_this<exchange>
+{
+public:
+    exchange(asio::io_context& context, http_get request)
+        : stream_(context), wanted_(std::move(request))
+    {
+        request_.method(http::verb::get);
+        request_.target(wanted_.path);
+        request_.version(11);
+        request_.set(http::field::host, to_string(wanted_.server));
+        request_.set(http::field::connection, "close");
+        parser_.header_limit(max_header);
+        parser_.body_limit(wanted_.max_body);
+    }
+
+    void start()
+    {
+        // One deadline for all steps together.
+        stream_.expires_after(wanted_.timeout);
+        const asio::ip::tcp::endpoint server(
+            asio::ip::address_v4(wanted_.server.address.value),
+            wanted_.server.port);
+        stream_.async_connect(server,
+                              [self = shared_from_this()](error_code error)
+                              { self->connected(error); });
+    }
+
+    /// Empty while the exchange is not finished.
+    [[nodiscard]] const std::optional<http_result>& result() const
+    {
+        return result_;
+    }
+
+private:
+    void connected(error_code error)
+    {
+        if (error)
+        {
+            fail(error, read_problem::unreachable);
+            return;
+        }
+        http::async_write(stream_, request_,
+                          [self = shared_from_this()](error_code failed,
+                                                      std::size_t /*bytes*/)
+                          { self->written(failed); });
+    }
+
+    void written(error_code error)
+    {
+        if (error)
+        {
+            fail(error, read_problem::short_body);
+            return;
+        }
+        http::async_read_header(stream_, buffer_, parser_,
+                                [self = shared_from_this()](
+                                    error_code failed, std::size_t /*bytes*/)
+                                { self->header_read(failed); });
+    }
+
+    void header_read(error_code error)
+    {
+        if (error)
+        {
+            fail(error, read_problem::short_body);
+            return;
+        }
+        const unsigned status = parser_.get().result_int();
+        const auto refuse = [&](read_problem problem, std::string message)
+        {
+            result_ = read_failure{problem, status, std::move(message)};
+        };
+        if (status >= 300 && status < 400)
+        {
+            refuse(read_problem::redirected, "redirects are not followed");
+        }
+        else if (status != 200 && status != 204)
+        {
+            refuse(read_problem::bad_status,
+                   "status " + std::to_string(status));
+        }
+        else if (status == 204)
+        {
+            result_ = http_answer{status, ""};
+        }
+        else if (!parser_.chunked() && !parser_.content_length())
+        {
+            refuse(read_problem::malformed, "the body has no length");
+        }
+        else if (!has_media_type())
+        {
+            refuse(read_problem::wrong_content,
+                   "the answer is not " + wanted_.media_type);
+        }
+        else
+        {
+            http::async_read(stream_, buffer_, parser_,
+                             [self = shared_from_this()](error_code failed,
+                                                         std::size_t /*bytes*/)
+                             { self->body_read(failed); });
+        }
+    }
+
+    void body_read(error_code error)
+    {
+        if (error)
+        {
+            fail(error, read_problem::short_body);
+            return;
+        }
+        std::string body = std::move(parser_.get().body());
+        if (body.find('\0') != std::string::npos)
+        {
+            result_ = read_failure{read_problem::wrong_content, 200,
+                                   "the body is not text"};
+            return;
+        }
+        result_ = http_answer{200, std::move(body)};
+    }
+
+    [[nodiscard]] bool has_media_type() const
+    {
+        const beast::string_view field =
+            parser_.get()[http::field::content_type];
+        const std::string_view value(field.data(), field.size());
+        const std::string_view type = value.substr(0, value.find(';'));
+        const std::size_t end = type.find_last_not_of(" \t") + 1;
+        return beast::iequals({type.data(), end}, wanted_.media_type);
+    }
+
+    /// `usual` stands for errors of the connection itself.
+    void fail(error_code error, read_problem usual)
+    {
+        read_problem problem = usual;
+        if (error == beast::error::timeout)
+        {
+            problem = read_problem::timeout;
+        }
+        else if (error == http::error::body_limit ||
+                 error == http::error::buffer_overflow ||
+                 error == http::error::header_limit)
+        {
+            problem = read_problem::oversized;
+        }
+        else if (error.category() ==
+                     http::make_error_code(http::error::bad_version)
+                         .category() &&
+                 error != http::error::partial_message &&
+                 error != http::error::end_of_stream)
+        {
+            problem = read_problem::malformed;
+        }
+        result_ =
+            read_failure{problem, parser_.get().result_int(), error.message()};
+        if (!parser_.is_header_done())
+        {
+            std::get<read_failure>(*result_).status = 0;
+        }
+    }
+
+    beast::tcp_stream stream_;
+    http_get wanted_;
+    http::request<http::empty_body> request_;
+    beast::flat_buffer buffer_{max_header};
+    http::response_parser<http::string_body> parser_;
+    std::optional<http_result> result_;
+};
+
+} // namespace
+
+struct http_reader::state
+{
+    asio::io_context context{1};
+    std::atomic<bool> stopped{false};
+};
+
+std::string to_string(read_problem problem)
+{
+    constexpr std::array names{"unreachable", "timeout",       "redirected",
+                               "bad_status",  "malformed",     "short_body",
+                               "oversized",   "wrong_content", "stopped"};
+    return names.at(static_cast<std::size_t>(problem));
+}
+
+http_reader::http_reader() : state_(std::make_unique<state>()) {}
+
+http_reader::~http_reader() = default;
+
+http_result http_reader::get(const http_get& request)
+{
+    // A stop that comes between restart and run must not be lost.
+    state_->context.restart();
+    if (!state_->stopped)
+    {
+        const auto one = std::make_shared<exchange>(state_->context, request);
+        one->start();
+        state_->context.run();
+        if (one->result())
+        {
+            return *one->result();
+        }
+    }
+    return read_failure{read_problem::stopped, 0, "the reader was stopped"};
+}
+
+void http_reader::stop()
+{
+    state_->stopped = true;
+    state_->context.stop();
+}
+
+} // namespace catkinkeel
--- /dev/null
+++ b/catkinkeel/platform/http_reader_test.cpp
@@ -0,0 +1,218 @@
+// The reader against a server that misbehaves on purpose.
+
+#include "catkinkeel/platform/platform_client.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <string>
+#include <thread>
+
+using namespace catkinkeel;
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Answers one request with fixed bytes. Then it closes the connection, or
+/// waits until the reader does.
+class raw_server
+{
+public:
+    enum class ending
+    {
+        close,
+        stay
+    };
+
+    raw_server(std::string bytes, ending how)
+        : acceptor_(context_, {asio::ip::address_v4::loopback(), 0}),
+          thread_([this, bytes = std::move(bytes), how] { serve(bytes, how); })
+    {
+    }
+    ~raw_server()
+    {
+        thread_.join();
+    }
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+
+    [[nodiscard]] endpoint address() const
+    {
+        return {{0x7f000001}, acceptor_.local_endpoint().port()};
+    }
+
+private:
+    void serve(const std::string& bytes, ending how)
+    {
+        boost::system::error_code error;
+        asio::ip::tcp::socket socket(context_);
+        acceptor_.accept(socket, error);
+        asio::streambuf request;
+        asio::read_until(socket, request, "\r\n\r\n", error);
+        asio::write(socket, asio::buffer(bytes), error);
+        if (how == ending::stay)
+        {
+            char ignored = 0;
+            socket.read_some(asio::buffer(&ignored, 1), error);
+        }
+    }
+
+    asio::io_context context_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::thread thread_;
+};
+
+http_result get_from(const std::string& bytes,
+                     raw_server::ending how = raw_server::ending::close,
+                     duration timeout = 10s)
+{
+    const raw_server server(bytes, how);
+    http_reader reader;
+    return reader.get({.server = server.address(),
+                       .path = "/load",
+                       .media_type = "application/json",
+                       .timeout = timeout,
+                       .max_body = 100});
+}
+
+const std::string good = "HTTP/1.1 200 OK\r\n"
+                         "Content-Type: application/json; charset=utf-8\r\n"
+                         "Content-Length: 2\r\n\r\n{}";
+
+} // namespace
+
+TEST_CASE("a good answer is read whether it has a length or chunks")
+{
+    CHECK(std::get<http_answer>(get_from(good)).body == "{}");
+    CHECK(std::get<http_answer>(
+              get_from("HTTP/1.1 200 OK\r\nContent-Type: Application/JSON\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n"
+                       "1\r\n{\r\n1\r\n}\r\n0\r\n\r\n"))
+              .body == "{}");
+    CHECK(std::get<http_answer>(get_from("HTTP/1.1 204 No Content\r\n\r\n"))
+              .status == 204);
+}
+
+TEST_CASE("each misbehaviour of a server is its own failure")
+{
+    struct misbehaviour
+    {
+        std::string bytes;
+        read_problem problem;
+        unsigned status;
+    };
+    const std::string ok =
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+    const std::vector<misbehaviour> cases{
+        {"", read_problem::short_body, 0},
+        {"HTTP/1.1 200 O", read_problem::short_body, 0},
+        {ok + "Content-Length: 5\r\n\r\n{}", read_problem::short_body, 200},
+        {ok + "Transfer-Encoding: chunked\r\n\r\n9\r\n{}",
+         read_problem::short_body, 200},
+        {ok + "Content-Length: 101\r\n\r\n" + std::string(101, ' '),
+         read_problem::oversized, 200},
+        {ok + "Transfer-Encoding: chunked\r\n\r\nff\r\n" +
+             std::string(255, ' ') + "\r\n0\r\n\r\n",
+         read_problem::oversized, 200},
+        {ok + "Content-Length: 99999999999999999999\r\n\r\n",
+         read_problem::malformed, 0},
+        {ok + "Content-Length: -5\r\n\r\n", read_problem::malformed, 0},
+        {ok + "\r\n{}", read_problem::malformed, 200},
+        {"SSH-2.0-OpenSSH\r\n\r\n", read_problem::malformed, 0},
+        {"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
+         read_problem::bad_status, 500},
+        {"HTTP/1.1 302 Found\r\nLocation: http://127.0.0.1:1/\r\n"
+         "Content-Length: 0\r\n\r\n",
+         read_problem::redirected, 302},
+        {"HTTP/1.1 200 OK\r\nContent-Type: text/html\r\n"
+         "Content-Length: 2\r\n\r\n{}",
+         read_problem::wrong_content, 200},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+         read_problem::wrong_content, 200},
+        {ok + "Content-Length: 2\r\n\r\n{" + std::string(1, '\0'),
+         read_problem::wrong_content, 200},
+        {"HTTP/1.1 200 OK\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n",
+         read_problem::oversized, 0},
+    };
+    for (const misbehaviour& each : cases)
+    {
+        INFO(each.bytes.substr(0, 120));
+        const http_result result = get_from(each.bytes);
+        REQUIRE(std::holds_alternative<read_failure>(result));
+        const auto& failed = std::get<read_failure>(result);
+        INFO(failed.message);
+        CHECK(to_string(failed.problem) == to_string(each.problem));
+        CHECK(failed.status == each.status);
+        CHECK(!failed.message.empty());
+    }
+}
+
+TEST_CASE("a server that stops in the middle is left at the deadline")
+{
+    for (const std::size_t sent :
+         {std::size_t{0}, std::size_t{20}, good.size() - 1})
+    {
+        const auto result =
+            get_from(good.substr(0, sent), raw_server::ending::stay, 50ms);
+        REQUIRE(std::holds_alternative<read_failure>(result));
+        CHECK(std::get<read_failure>(result).problem == read_problem::timeout);
+    }
+}
+
+TEST_CASE("a port without a server is unreachable")
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context,
+                                     {asio::ip::address_v4::loopback(), 0});
+    const endpoint server{{0x7f000001}, acceptor.local_endpoint().port()};
+    acceptor.close();
+    report_client client(10s);
+    const auto answer = client.read_load(server);
+    REQUIRE(std::holds_alternative<read_failure>(answer));
+    CHECK(std::get<read_failure>(answer).problem == read_problem::unreachable);
+}
+
+TEST_CASE("a stop ends a read that waits, and all later ones")
+{
+    const raw_server server("", raw_server::ending::stay);
+    http_reader reader;
+    std::thread stopper([&] { reader.stop(); });
+    const http_get request{
+        .server = server.address(), .path = "/", .timeout = 60s};
+    const auto first = reader.get(request);
+    stopper.join();
+    CHECK(std::get<read_failure>(first).problem == read_problem::stopped);
+    CHECK(std::get<read_failure>(reader.get(request)).problem ==
+          read_problem::stopped);
+    // The read may have ended before it reached the server, which waits for
+    // one connection.
+    http_reader last;
+    (void)last.get({.server = server.address(), .path = "/", .timeout = 20ms});
+}
+
+TEST_CASE("no mutation of an answer stops the reader")
+{
+    CHECK(rc::check(
+        []
+        {
+            std::string bytes = good;
+            for (int i = *rc::gen::inRange(1, 6); i > 0; --i)
+            {
+                const auto at =
+                    *rc::gen::inRange<std::size_t>(0, bytes.size() + 1);
+                bytes = *rc::gen::arbitrary<bool>()
+                            ? bytes.insert(at, 1, *rc::gen::arbitrary<char>())
+                            : bytes.substr(0, at) + bytes.substr(at / 2);
+            }
+            const auto result = get_from(bytes);
+            if (const auto* answer = std::get_if<http_answer>(&result))
+            {
+                RC_ASSERT(answer->body.size() <= 100U);
+            }
+        }));
+}
--- /dev/null
+++ b/catkinkeel/platform/platform_client.cpp
@@ -0,0 +1,108 @@
+#include "catkinkeel/platform/platform_client.hpp"
+
+#include <utility>
+
+namespace catkinkeel
+{
+
+namespace
+{
+
+/// Names and hashes come from a checked index; anything else would change the
+/// request.
+bool is_path_segment(const std::string& text)
+{
+    return !text.empty() &&
+           text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-_.") ==
+               std::string::npos;
+}
+
+text_answer to_text(http_result result)
+{
+    if (auto* failed = std::get_if<read_failure>(&result))
+    {
+        return std::move(*failed);
+    }
+    auto& answer = std::get<http_answer>(result);
+    if (answer.status != 200)
+    {
+        return read_failure{read_problem::bad_status, answer.status,
+                            "the answer has no body"};
+    }
+    return std::move(answer.body);
+}
+
+} // namespace
+
+platform_client::platform_client(endpoint platform, duration timeout)
+    : platform_(platform), timeout_(timeout)
+{
+}
+
+index_answer platform_client::watch_index(set_version after,
+                                          std::chrono::seconds wait)
+{
+    http_result result =
+        reader_.get({.server = platform_,
+                     .path = "/v1/index?after=" + std::to_string(after.value) +
+                             "&wait=" + std::to_string(wait.count()),
+                     .media_type = document_media_type,
+                     .timeout = timeout_ + wait});
+    if (auto* failed = std::get_if<read_failure>(&result))
+    {
+        return std::move(*failed);
+    }
+    auto& answer = std::get<http_answer>(result);
+    if (answer.status == 204)
+    {
+        return not_changed{};
+    }
+    return std::move(answer.body);
+}
+
+text_answer platform_client::read_chunk(const std::string& name,
+                                        const std::string& hash)
+{
+    if (!is_path_segment(name) || !is_path_segment(hash))
+    {
+        return read_failure{read_problem::wrong_content, 0,
+                            "the name or hash of the chunk is not legal"};
+    }
+    return read_text("/v1/chunks/" + name + "/" + hash);
+}
+
+text_answer platform_client::read_vms()
+{
+    return read_text("/v1/vms");
+}
+
+text_answer platform_client::read_text(std::string path)
+{
+    return to_text(reader_.get({.server = platform_,
+                                .path = std::move(path),
+                                .media_type = document_media_type,
+                                .timeout = timeout_}));
+}
+
+void platform_client::stop()
+{
+    reader_.stop();
+}
+
+report_client::report_client(duration timeout) : timeout_(timeout) {}
+
+text_answer report_client::read_load(const endpoint& report)
+{
+    return to_text(reader_.get({.server = report,
+                                .path = "/load",
+                                .media_type = report_media_type,
+                                .timeout = timeout_,
+                                .max_body = max_report}));
+}
+
+void report_client::stop()
+{
+    reader_.stop();
+}
+
+} // namespace catkinkeel
--- /dev/null
+++ b/catkinkeel/platform/platform_client_test.cpp
@@ -0,0 +1,139 @@
+// The client against the stand-in of the platform.
+
+#include "catkinkeel/contract/set_store.hpp"
+#include "catkinkeel/platform/platform_client.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+#include "standins/platform_standin.hpp"
+
+using namespace catkinkeel;
+
+namespace
+{
+
+published_objects objects_at(std::uint16_t version)
+{
+    return {
+        .version = {version},
+        .data_centres = {{.id = {1}, .name = "zilina-a", .region = {version}}}};
+}
+
+std::shared_ptr<platform_standin> start_standin()
+{
+    auto started = platform_standin::start(0, 8);
+    REQUIRE(started.has_value());
+    return started.value();
+}
+
+const std::string& text_of(const index_answer& answer)
+{
+    REQUIRE(std::holds_alternative<std::string>(answer));
+    return std::get<std::string>(answer);
+}
+
+/// Reads what the store asks for until a set is accepted or nothing is asked.
+published_set_ptr read_through(platform_client& client, set_store& store,
+                               const std::string& index, instant now)
+{
+    store_outputs outputs = store.index_read(index, now);
+    for (std::size_t i = 0; i < outputs.size(); ++i)
+    {
+        const auto* wanted = std::get_if<read_chunk>(&outputs[i]);
+        if (wanted == nullptr)
+        {
+            continue;
+        }
+        const read_chunk asked = *wanted;
+        const auto text = client.read_chunk(asked.name, asked.hash);
+        REQUIRE(std::holds_alternative<std::string>(text));
+        const auto more = store.chunk_read(asked.name, asked.hash,
+                                           std::get<std::string>(text), now);
+        outputs.insert(outputs.end(), more.begin(), more.end());
+    }
+    return store.in_effect();
+}
+
+} // namespace
+
+TEST_CASE("a published set travels from the platform into effect")
+{
+    const auto standin = start_standin();
+    platform_client client(standin->address());
+    set_store store(instant{}, random_source(1));
+    const instant now = instant{} + 2s;
+    standin->publish(objects_at(3));
+    const auto first =
+        read_through(client, store, text_of(client.watch_index({0}, 10s)), now);
+    REQUIRE(first != nullptr);
+    CHECK(first->objects() == objects_at(3));
+
+    // A watch that waits returns when a version is published.
+    std::thread publisher([&] { standin->publish(objects_at(4)); });
+    const auto index = client.watch_index(store.watch_after(), 60s);
+    publisher.join();
+    const auto second = read_through(client, store, text_of(index), now);
+    CHECK(second->version() == set_version{4});
+    CHECK(standin->reads() == standin_reads{2, 2, 0, 0});
+}
+
+TEST_CASE("a watch without news ends after its wait")
+{
+    const auto standin = start_standin();
+    standin->publish(objects_at(3));
+    platform_client client(standin->address());
+    CHECK(std::holds_alternative<not_changed>(client.watch_index({3}, 0s)));
+}
+
+TEST_CASE("a stale, older or failing service never changes the set in effect")
+{
+    const auto standin = start_standin();
+    platform_client client(standin->address());
+    set_store store(instant{}, random_source(1));
+    const instant now = instant{} + 2s;
+    standin->publish(objects_at(3));
+    standin->publish(objects_at(4));
+    read_through(client, store, text_of(client.watch_index({0}, 0s)), now);
+    REQUIRE(store.status().in_effect == set_version{4});
+
+    standin->set_mode(standin_mode::stale);
+    standin->publish(objects_at(5));
+    CHECK(std::holds_alternative<not_changed>(client.watch_index({4}, 0s)));
+
+    standin->set_mode(standin_mode::older);
+    standin->publish(objects_at(6));
+    // The version before the newest is 5 and new; once 6 is in effect it is
+    // older.
+    read_through(client, store, text_of(client.watch_index({4}, 0s)), now);
+    CHECK(store.status().in_effect == set_version{5});
+    standin->set_mode(standin_mode::normal);
+    read_through(client, store, text_of(client.watch_index({5}, 0s)), now);
+    REQUIRE(store.status().in_effect == set_version{6});
+    standin->set_mode(standin_mode::older);
+    const auto outputs =
+        store.index_read(text_of(client.watch_index({6}, 60s)), now);
+    REQUIRE(outputs.size() == 1);
+    CHECK(std::get<set_ignored>(outputs[0]).reason == ignore_reason::older);
+    CHECK(store.status().in_effect == set_version{6});
+
+    standin->set_mode(standin_mode::error);
+    const auto failed = client.watch_index({6}, 60s);
+    REQUIRE(std::holds_alternative<read_failure>(failed));
+    CHECK(std::get<read_failure>(failed).status == 503);
+}
+
+TEST_CASE("the VM list and missing chunks are answered as text and failure")
+{
+    const auto standin = start_standin();
+    standin->set_vms("version = 1\n");
+    platform_client client(standin->address());
+    CHECK(client.read_vms() == text_answer("version = 1\n"));
+    const auto missing = client.read_chunk("target-0", "0123456789abcdef");
+    CHECK(std::get<read_failure>(missing).status == 404);
+    const auto illegal = client.read_chunk("../control/set", "x y");
+    CHECK(std::get<read_failure>(illegal).problem ==
+          read_problem::wrong_content);
+    CHECK(standin->reads().chunks == 1);
+}
--- /dev/null
+++ b/catkinkeel/platform/reader_policy.cpp
@@ -0,0 +1,78 @@
+#include "catkinkeel/platform/reader_policy.hpp"
+
+#include "catkinkeel/base/hash.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace catkinkeel
+{
+
+namespace
+{
+
+// Keeps this ranking independent of those of buckets and targets.
+constexpr std::uint64_t reader_salt = 0x72656164657273ULL;
+
+constexpr duration useless_pause = 1s;
+constexpr duration useless_jitter = 500ms;
+
+duration below(duration bound, std::uint64_t hash)
+{
+    return duration(static_cast<duration::rep>(
+        hash % static_cast<std::uint64_t>(bound.count())));
+}
+
+} // namespace
+
+std::vector<vm_id> readers_of(const member_view& view,
+                              data_centre_id data_centre)
+{
+    std::vector<std::pair<std::uint64_t, vm_id>> ranked;
+    for (const member& each : view.members)
+    {
+        if (each.data_centre == data_centre && each.may_own())
+        {
+            ranked.emplace_back(
+                hash_pair(reader_salt ^ data_centre.value, each.id.value),
+                each.id);
+        }
+    }
+    std::ranges::sort(ranked, std::ranges::greater());
+    ranked.resize(std::min(ranked.size(), readers_per_data_centre));
+    std::vector<vm_id> readers;
+    readers.reserve(ranked.size());
+    for (const auto& [score, id] : ranked)
+    {
+        readers.push_back(id);
+    }
+    return readers;
+}
+
+bool is_reader(const member_view& view, vm_id self, data_centre_id data_centre)
+{
+    const auto readers = readers_of(view, data_centre);
+    return std::ranges::find(readers, self) != readers.end();
+}
+
+duration fallback_after(vm_id self)
+{
+    return reader_fallback +
+           below(reader_fallback_jitter, hash_pair(reader_salt, self.value));
+}
+
+bool watches_service(const member_view& view, vm_id self,
+                     data_centre_id data_centre, instant last_news, instant now)
+{
+    return is_reader(view, self, data_centre) ||
+           now - last_news >= fallback_after(self);
+}
+
+duration watch_pause(watch_result result, random_source& random)
+{
+    return result == watch_result::useful
+               ? duration(0)
+               : useless_pause + below(useless_jitter, random.next());
+}
+
+} // namespace catkinkeel
