--- a/apps/catkinkeeld.cpp
+++ b/apps/catkinkeeld.cpp
@@ -63,7 +63,7 @@
 
 int check_and_run(const std::string& file, bool only_check)
 {
-    const auto text = read_settings_text(file);
+    const auto text = read_text_file(file, settings_size_limit);
     if (!text)
     {
         std::cerr << text.error().message << '\n';
