--- a/catkinkeel/daemon/daemon.cpp
+++ b/catkinkeel/daemon/daemon.cpp
@@ -39,6 +39,14 @@
     return terms;
 }
 
+/// Whether another VM may own this VM's buckets.
+bool somebody_takes_over(const member_view& view)
+{
+    return std::ranges::any_of(
+        view.members, [&](const member& each)
+        { return each.id != view.self && each.may_own(); });
+}
+
 std::string key_names(const key_ring& keys)
 {
     std::string names = std::to_string(keys.current.id);
@@ -278,8 +286,9 @@
         const instant last_packet{duration(self.board->last_packet_at.load())};
         // The snapshot is a second old at most; by then the view shows that
         // this VM has left.
-        finished = steady_now() - start > quiet_before_exit &&
-                   self.board->decide.get()->buckets.held == 0 &&
+        const bool handed_over = self.board->decide.get()->buckets.held == 0 ||
+                                 !somebody_takes_over(*self.board->view.get());
+        finished = handed_over && steady_now() - start > quiet_before_exit &&
                    steady_now() - last_packet > quiet_before_exit;
     }
     const auto seconds =
--- a/catkinkeel/daemon/operators_server.cpp
+++ b/catkinkeel/daemon/operators_server.cpp
@@ -119,14 +119,14 @@
         facts, std::move(board), std::move(events), std::move(decide)));
     const std::string port = to_string(where);
     std::array<const char*, 9> options{"listening_ports",
-                                             port.c_str(),
-                                             "num_threads",
-                                             "4",
-                                             "request_timeout_ms",
-                                             "5000",
-                                             "enable_keep_alive",
-                                             "no",
-                                             nullptr};
+                                       port.c_str(),
+                                       "num_threads",
+                                       "4",
+                                       "request_timeout_ms",
+                                       "5000",
+                                       "enable_keep_alive",
+                                       "no",
+                                       nullptr};
     const mg_callbacks callbacks{};
     server->context_ = mg_start(&callbacks, nullptr, options.data());
     if (server->context_ == nullptr)
