--- a/catkinkeel/cli/cli_test.cpp
+++ b/catkinkeel/cli/cli_test.cpp
@@ -109,8 +109,8 @@
     http_stand_in()
     {
         mg_init_library(0);
-        std::array<const char*, 5> options{
-            "listening_ports", "127.0.0.1:0", "num_threads", "2", nullptr};
+        std::array<const char*, 5> options{"listening_ports", "127.0.0.1:0",
+                                           "num_threads", "2", nullptr};
         context_ = mg_start(nullptr, nullptr, options.data());
         mg_set_request_handler(context_, "/", answer, nullptr);
         mg_server_port port{};
--- a/catkinkeel/cli/offline.cpp
+++ b/catkinkeel/cli/offline.cpp
@@ -22,7 +22,7 @@
 
 /// Largest published document: values of the configuration service are up to
 /// 1 MB.
-constexpr byte_count document_size_limit{1024 * 1024};
+constexpr byte_count document_size_limit{std::uint64_t{1024} * 1024};
 
 /// All documents of a set: `paths` with each directory replaced by its *.toml
 /// files in the order of their names.
--- a/catkinkeel/operators/documents.hpp
+++ b/catkinkeel/operators/documents.hpp
@@ -311,7 +311,7 @@
 
 /// Largest answer that a reader accepts; a status document has about 300 bytes
 /// for each of at most 24,000 targets.
-constexpr byte_count answer_size_limit{16 * 1024 * 1024};
+constexpr byte_count answer_size_limit{std::uint64_t{16} * 1024 * 1024};
 
 /// Which audit entries are asked for: the newest `limit` above `after`.
 struct audit_query
--- a/catkinkeel/operators/internal/members.hpp
+++ b/catkinkeel/operators/internal/members.hpp
@@ -32,7 +32,7 @@
 
 /// Value of the member "kind" of a document.
 template <class Document>
-constexpr std::string_view kind_of = "";
+constexpr std::string_view kind_of;
 template <>
 inline constexpr std::string_view kind_of<status_document> = "status";
 template <>
--- a/catkinkeel/operators/operators_test.cpp
+++ b/catkinkeel/operators/operators_test.cpp
@@ -285,17 +285,18 @@
     for (std::size_t at = alerts.find("catkinkeel_"); at != std::string::npos;
          at = alerts.find("catkinkeel_", at + 1), ++found)
     {
-        auto end = std::find_if_not(alerts.begin() + at, alerts.end(),
-                                    is_name_character);
-        const std::string name(alerts.begin() + at, end);
+        const std::string_view rest = std::string_view(alerts).substr(at);
+        const auto* const end =
+            std::ranges::find_if_not(rest, is_name_character);
+        const std::string name(rest.begin(), end);
         INFO(name);
         CHECK((exported.find("\n" + name + " ") != std::string::npos ||
                exported.find("\n" + name + "{") != std::string::npos));
         // A selector {label="value"}; a regular expression is not compared.
-        if (*end == '{' && std::find(end, alerts.end(), '=')[1] == '"')
+        if (*end == '{' && std::find(end, rest.end(), '=')[1] == '"')
         {
-            const std::string series(alerts.begin() + at,
-                                     std::find(end, alerts.end(), '}') + 1);
+            const std::string series(rest.begin(),
+                                     std::find(end, rest.end(), '}') + 1);
             INFO(series);
             CHECK(exported.find("\n" + series + " ") != std::string::npos);
         }
--- a/catkinkeel/settings/parse.cpp
+++ b/catkinkeel/settings/parse.cpp
@@ -3,9 +3,7 @@
 #include <toml.hpp>
 
 #include <algorithm>
-#include <array>
 #include <exception>
-#include <fstream>
 #include <map>
 #include <optional>
 #include <sstream>
@@ -349,8 +347,10 @@
         {
             for (const auto& [key, member] : value.as_table())
             {
-                values.emplace(section + "." + key, &member);
-                lines.emplace(section + "." + key, line_of(member));
+                std::string name = section;
+                name.append(".").append(key);
+                values.emplace(name, &member);
+                lines.emplace(std::move(name), line_of(member));
             }
         }
     }
@@ -460,29 +460,4 @@
     }
 }
 
-outcome<std::string> read_text_file(const std::string& path, byte_count limit)
-{
-    std::ifstream file(path, std::ios::binary);
-    std::string text;
-    std::array<char, 16384> part{};
-    while (file && text.size() <= limit.value)
-    {
-        file.read(part.data(), part.size());
-        text.append(part.data(), static_cast<std::size_t>(file.gcount()));
-    }
-    if (text.size() > limit.value)
-    {
-        return failure{failure_kind::limit_exceeded,
-                       path + " is longer than " + std::to_string(limit.value) +
-                           " bytes"};
-    }
-    // A stream that was read to its end has both bits set; one that could not
-    // be opened, or a directory, lacks the first.
-    if (!file.eof())
-    {
-        return failure{failure_kind::unavailable, path + " can't be read"};
-    }
-    return text;
-}
-
 } // namespace catkinkeel
--- a/catkinkeel/settings/settings.hpp
+++ b/catkinkeel/settings/settings.hpp
@@ -96,7 +96,7 @@
 
 /// Largest settings text that is read. The largest file that operators need is
 /// a list of some hundred peers.
-constexpr byte_count settings_size_limit{256 * 1024};
+constexpr byte_count settings_size_limit{std::uint64_t{256} * 1024};
 
 /// Parses and checks the whole text. Never throws.
 settings_result parse_settings(std::string_view text);
--- a/catkinkeel/settings/settings_test.cpp
+++ b/catkinkeel/settings/settings_test.cpp
@@ -74,7 +74,7 @@
 TEST_CASE("the sample settings are accepted")
 {
     const settings_result first = parse_settings(exlibris());
-    CHECK(problems_of(exlibris()) == lines{});
+    CHECK(problems_of(exlibris()).empty());
     const auto& zilina = std::get<daemon_settings>(first);
     CHECK(zilina.id == vm_id{1});
     CHECK(zilina.name == "zilina-a-1");
@@ -83,7 +83,7 @@
     CHECK(zilina.peers[2] ==
           peer_settings{{5}, {3}, {{0x0a47030b}, 6081}, {{0x0a47030b}, 6080}});
 
-    CHECK(problems_of(habimana()) == lines{});
+    CHECK(problems_of(habimana()).empty());
     const settings_result second = parse_settings(habimana());
     const auto& kigali = std::get<daemon_settings>(second);
     CHECK(kigali.load_bound == 0.03);
@@ -94,7 +94,7 @@
 TEST_CASE("a key that is left out keeps its documented default")
 {
     const settings_result result = parse_settings(minimal);
-    REQUIRE(problems_of(minimal) == lines{});
+    REQUIRE(problems_of(minimal).empty());
     const auto& settings = std::get<daemon_settings>(result);
     CHECK(settings.operators == endpoint{{0x7f000001}, 9080});
     CHECK(settings.control_budget == byte_count{2048});
@@ -116,37 +116,40 @@
 
 TEST_CASE("every problem of a file is reported at once with its line")
 {
-    CHECK(problems_of("[vm]\n"
-                      "id = \"one\"\n"
-                      "name = \"\"\n"
-                      "data_centre = 70000\n"
-                      "[endpoints]\n"
-                      "packets = \"10.0.0.9\"\n"
-                      "controll = \"10.0.0.9:6081\"\n"
-                      "egress = 5\n"
-                      "[platfrom]\n"
-                      "[keys]\n"
-                      "file = \"k\"\n"
-                      "[flows]\n"
-                      "load_bound = nan\n"
-                      "[log]\n"
-                      "level = \"loud\"\n") ==
+    const std::string file = "[vm]\n"
+                             "id = \"one\"\n"
+                             "name = \"\"\n"
+                             "data_centre = 70000\n"
+                             "[endpoints]\n"
+                             "packets = \"10.0.0.9\"\n"
+                             "controll = \"10.0.0.9:6081\"\n"
+                             "egress = 5\n"
+                             "[platfrom]\n"
+                             "[keys]\n"
+                             "file = \"k\"\n"
+                             "[flows]\n"
+                             "load_bound = nan\n"
+                             "[log]\n"
+                             "level = \"loud\"\n";
+    const std::string no_endpoint = parse_endpoint("10.0.0.9").error().message;
+    const std::string unknown = "line 7: endpoints.controll: unknown key; did "
+                                "you mean endpoints.control?";
+    const std::string mistyped = "line 8: endpoints.egress: must be a string "
+                                 "\"address:port\", not an integer";
+    const std::string unnamed = "line 15: log.level: must be one of \"debug\", "
+                                "\"info\", \"warning\", \"error\", "
+                                "\"critical\"";
+    CHECK(problems_of(file) ==
           lines{"endpoints.control: required key is missing",
                 "platform.configuration: required key is missing",
                 "platform.vm_list: required key is missing",
                 "line 2: vm.id: must be an integer, not a string",
                 "line 3: vm.name: length in bytes must be from 1 to 64",
                 "line 4: vm.data_centre: value must be from 1 to 65535",
-                "line 6: endpoints.packets: " +
-                    parse_endpoint("10.0.0.9").error().message,
-                "line 7: endpoints.controll: unknown key; did you mean "
-                "endpoints.control?",
-                "line 8: endpoints.egress: must be a string "
-                "\"address:port\", not an integer",
+                "line 6: endpoints.packets: " + no_endpoint, unknown, mistyped,
                 "line 9: platfrom: unknown key; did you mean platform?",
                 "line 13: flows.load_bound: value must be from 0.01 to 1",
-                "line 15: log.level: must be one of \"debug\", \"info\", "
-                "\"warning\", \"error\", \"critical\""});
+                unnamed});
 }
 
 TEST_CASE("a syntax error names its line")
@@ -185,7 +188,7 @@
                              "data_centre = 1\n"
                              "control = \"10.0.0.4:6081\"\n"
                              "packets = \"10.0.0.4:6080\"\n";
-    CHECK(problems_of(minimal + peer) == lines{});
+    CHECK(problems_of(minimal + peer).empty());
     CHECK(problems_of(minimal + peer + peer) ==
           lines{"line 14: peers: id 4 occurs twice"});
     CHECK(problems_of(minimal + peer + replaced(peer, "id = 4", "id = 5")) ==
@@ -220,12 +223,13 @@
 {
     const std::vector<std::string> seeds{exlibris(), habimana(), minimal};
     const std::vector<std::string> tokens{
-        "[",      "]",          "[[",          "]]",  "{",    "}",   "\"",
-        "\"\"\"", "'",          "'''",         "=",   ".",    ",",   "\n",
-        "\r\n",   "\\u",        "#",           "\0",  "1e9",  "-0",  "0x",
-        "0b2",    "inf",        "nan",         "1_0", "true", "\\",  "12:0",
-        "\xff",   "\xc3",       "\\UFFFFFFFF", "+",   "_",    "vm.", "1979-5",
-        "[vm]\n", "peers = 1\n"};
+        "[",           "]",      "[[",   "]]",   "{",      "}",
+        "\"",          "\"\"\"", "'",    "'''",  "=",      ".",
+        ",",           "\n",     "\r\n", "\\u",  "#",      std::string(1, '\0'),
+        "1e9",         "-0",     "0x",   "0b2",  "inf",    "nan",
+        "1_0",         "true",   "\\",   "12:0", "\xff",   "\xc3",
+        "\\UFFFFFFFF", "+",      "_",    "vm.",  "1979-5", "[vm]\n",
+        "peers = 1\n"};
     const bool holds = rc::check(
         [&](std::uint64_t seed)
         {
