--- a/catkinkeel/operators/operators_test.cpp
+++ b/catkinkeel/operators/operators_test.cpp
@@ -238,6 +238,22 @@
               .message.rfind("protocol: ", 0) == 0);
 }
 
+TEST_CASE("an audit request is read whole or refused by name")
+{
+    CHECK(parse_audit_query("", "").value() == audit_query{});
+    CHECK(parse_audit_query("18446744073709551615", "5").value() ==
+          audit_query{18446744073709551615ULL, 5});
+    for (const char* text : {"-1", "x", "1x", " 1", "18446744073709551616"})
+    {
+        INFO(text);
+        CHECK(parse_audit_query(text, "").error().message.rfind("after: ", 0) ==
+              0);
+        CHECK(parse_audit_query("", text).error().message.rfind("limit: ", 0) ==
+              0);
+    }
+    CHECK_FALSE(parse_audit_query("", "0"));
+}
+
 TEST_CASE("every enumerator has its own name")
 {
     check_names<liveness>(4);
@@ -285,17 +301,18 @@
     for (std::size_t at = alerts.find("catkinkeel_"); at != std::string::npos;
          at = alerts.find("catkinkeel_", at + 1), ++found)
     {
-        auto end = std::find_if_not(alerts.begin() + at, alerts.end(),
-                                    is_name_character);
-        const std::string name(alerts.begin() + at, end);
+        const std::string_view rest = std::string_view(alerts).substr(at);
+        const auto* const end =
+            std::ranges::find_if_not(rest, is_name_character);
+        const std::string name(rest.begin(), end);
         INFO(name);
         CHECK((exported.find("\n" + name + " ") != std::string::npos ||
                exported.find("\n" + name + "{") != std::string::npos));
         // A selector {label="value"}; a regular expression is not compared.
-        if (*end == '{' && std::find(end, alerts.end(), '=')[1] == '"')
+        if (*end == '{' && std::find(end, rest.end(), '=')[1] == '"')
         {
-            const std::string series(alerts.begin() + at,
-                                     std::find(end, alerts.end(), '}') + 1);
+            const std::string series(rest.begin(),
+                                     std::find(end, rest.end(), '}') + 1);
             INFO(series);
             CHECK(exported.find("\n" + series + " ") != std::string::npos);
         }
