Ask again for an index that arrives damaged

A single damaged index part made a VM ignore the version from that peer for good; with one peer it never got the set.

--- a/bench/set_bench.cpp
+++ b/bench/set_bench.cpp
@@ -95,6 +95,17 @@
     state.counters["chunks"] = static_cast<double>(documents.chunks.size());
 }
 
+void parse_one_document(benchmark::State& state)
+{
+    const auto text =
+        write_whole_set(objects_of(static_cast<std::uint32_t>(state.range(0))));
+    for (auto _ : state)
+    {
+        benchmark::DoNotOptimize(parse_whole_set(text, "set"));
+    }
+    state.counters["bytes"] = static_cast<double>(text.size());
+}
+
 void parse_index_and_one_chunk(benchmark::State& state)
 {
     const auto documents =
@@ -120,6 +131,11 @@
     ->Arg(8000)
     ->Arg(24000)
     ->Unit(benchmark::kMillisecond);
+BENCHMARK(parse_one_document)
+    ->Arg(18)
+    ->Arg(8000)
+    ->Arg(24000)
+    ->Unit(benchmark::kMillisecond);
 BENCHMARK(parse_index_and_one_chunk)
     ->Arg(18)
     ->Arg(8000)
--- a/catkinkeel/contract/set_store.cpp
+++ b/catkinkeel/contract/set_store.cpp
@@ -248,7 +248,7 @@
         if (found->is_index())
         {
             const transfer done = *std::exchange(index_transfer_, std::nullopt);
-            finish_index(done, out);
+            finish_index(done, now, out);
         }
         else
         {
@@ -353,18 +353,19 @@
     candidate_ = std::move(offered);
 }
 
-void set_store::finish_index(const transfer& done, store_outputs& out)
+void set_store::finish_index(const transfer& done, instant now,
+                             store_outputs& out)
 {
     const std::string text = done.text();
     const vm_id peer = std::get<vm_id>(*done.source());
     if (content_hash(text) != done.hash())
     {
         out.emplace_back(wrong_content(peer, ""));
+        index_transfer_.emplace(done.version());
+        index_transfer_->start_over(now + settings_.retry_wait);
+        return;
     }
-    else
-    {
-        consider_index(text, peer, out);
-    }
+    consider_index(text, peer, out);
     // Whatever became of it, the same index is not asked for again.
     const auto known = peers_.find(peer);
     if (known != peers_.end())
--- a/catkinkeel/contract/set_store.hpp
+++ b/catkinkeel/contract/set_store.hpp
@@ -138,7 +138,8 @@
     void keep_chunk(const std::string& name, const std::string& hash,
                     const std::string& text, const document_source& source,
                     store_outputs& out);
-    void finish_index(const internal::transfer& done, store_outputs& out);
+    void finish_index(const internal::transfer& done, instant now,
+                      store_outputs& out);
     void finish_candidate(instant now, store_outputs& out);
     void start_transfers();
     void drive_transfers(instant now, store_outputs& out);
--- a/catkinkeel/contract/store_network_test.cpp
+++ b/catkinkeel/contract/store_network_test.cpp
@@ -297,6 +297,16 @@
     CHECK(net.store(3).in_effect()->version() == set_version{1});
 }
 
+TEST_CASE("one damaged index does not cut a VM off from its only peer")
+{
+    network net(2, {.damaged = 60}, 9);
+    net.publish(large_set(1));
+    net.run(2s);
+    net.read_index(1);
+    net.run(200s);
+    REQUIRE(net.store(2).in_effect() != nullptr);
+}
+
 TEST_CASE("parts of any shape from peers never stop or confuse a store")
 {
     CHECK(rc::check(
