Count an acknowledgement as of its probe, also after a pause

Cause: a flag for the time after a pause was redundant. Tests are added for what else a pause must not do, for the answer of a VM that hears of its death, and for a jump by the width of the replay window.

--- a/catkinkeel/link/codec.hpp
+++ b/catkinkeel/link/codec.hpp
@@ -35,8 +35,8 @@
 byte_buffer encode_message(const message& content);
 
 /// Decodes a body of any content. Fails with `oversized`, `malformed` or
-/// `unknown_type`; never reads past the body and allocates at most a small
-/// multiple of its size.
+/// `unknown_type`; never reads past the body. False lengths cost at most 1 MB
+/// of memory for the time of the call.
 std::variant<message, drop_reason> decode_message(byte_view body);
 
 message_priority priority_of(const message& content);
--- a/catkinkeel/link/drop.hpp
+++ b/catkinkeel/link/drop.hpp
@@ -24,6 +24,8 @@
     unknown_type,
     unknown_sender,
     unknown_key,
+    /// Also a frame made for an earlier life of this process or of its sender:
+    /// expect one from each peer after a restart.
     bad_mac,
     replayed,
     /// The ring to the next thread was full.
--- a/catkinkeel/link/envelope_test.cpp
+++ b/catkinkeel/link/envelope_test.cpp
@@ -225,6 +225,20 @@
         }));
 }
 
+TEST_CASE("a jump by the window's width forgets all earlier numbers")
+{
+    replay_window window;
+    CHECK(window.accept(998));
+    CHECK(window.accept(999));
+    CHECK(window.accept(1000));
+    CHECK(window.accept(1000 + replay_window::width));
+    CHECK_FALSE(window.accept(1000));
+    for (std::uint32_t i = 1; i < replay_window::width; ++i)
+    {
+        CHECK(window.accept(1000 + i));
+    }
+}
+
 TEST_CASE("key files hold one or two keys and name the bad line")
 {
     const std::string hex(64, 'a');
@@ -236,12 +250,14 @@
     CHECK(keys.value().find(8) == &*keys.value().other);
     CHECK(keys.value().find(9) == nullptr);
     const std::string key_1 = "1 " + hex;
-    const std::string key_2 = "\n2 " + hex;
-    const std::string key_3 = "\n3 " + hex;
+    const std::string key_1_again = "\n1 " + hex;
+    std::string three_keys = key_1;
+    three_keys += "\n2 " + hex;
+    three_keys += "\n3 " + hex;
     const std::string no_hex = "1 g" + hex.substr(1);
     for (const std::string& bad : std::initializer_list<std::string>{
-             "", "256 " + hex, "x " + hex, key_1 + "0", no_hex, "1",
-             key_1 + " 2", key_1 + "\n" + key_1, key_1 + key_2 + key_3})
+             "", "256 " + hex, "x " + hex, key_1 + "0", no_hex, "1", "1 aa bb",
+             key_1 + key_1_again, three_keys})
     {
         CAPTURE(bad);
         const auto parsed = parse_key_ring(bad);
--- a/catkinkeel/vm/membership.cpp
+++ b/catkinkeel/vm/membership.cpp
@@ -77,17 +77,13 @@
     return out;
 }
 
-// Detects a pause of the process. Timers that ran during it say nothing about
-// the other VMs, and acknowledgements of probes from before it say nothing
-// about this one.
+// Detects a pause of the process. What was not answered during it says nothing
+// about the other VMs.
 void membership::advance(instant now)
 {
     if (last_input_ && now - *last_input_ > settings_.silence_limit)
     {
-        resumed_unconfirmed_ = true;
         pending_.reset();
-        outstanding_.clear();
-        relayed_.clear();
         for (auto& [id, known] : peers_)
         {
             if (known.about.state == liveness::suspect)
@@ -327,14 +323,14 @@
 }
 
 // The time of an acknowledgement is the time of its probe: the peer heard this
-// VM no earlier, and a delayed acknowledgement does not count as fresh.
+// VM no earlier. So an acknowledgement that was delayed, or that waited while
+// this process was paused, does not count as fresh.
 void membership::settle_acknowledgement(vm_id from, std::uint64_t nonce)
 {
     const auto confirm = [&](instant sent_at)
     {
         last_acknowledged_ =
             std::max(last_acknowledged_.value_or(sent_at), sent_at);
-        resumed_unconfirmed_ = false;
     };
     const auto sent = std::ranges::find_if(
         outstanding_, [&](const outstanding_probe& each)
@@ -368,7 +364,7 @@
     {
         return true;
     }
-    return !resumed_unconfirmed_ && last_acknowledged_ &&
+    return last_acknowledged_ &&
            now - *last_acknowledged_ <= settings_.silence_limit;
 }
 
--- a/catkinkeel/vm/membership.hpp
+++ b/catkinkeel/vm/membership.hpp
@@ -62,9 +62,9 @@
     /// At most one introduction is sent in this period, which bounds its cost
     /// to about 0.6 KB/s while many VMs return at once.
     duration introduction_period = 1s;
-    /// A gap above this between two inputs means the process was paused. Also
-    /// the longest time without an acknowledgement in which flows are opened.
-    /// It must be shorter than `suspicion`.
+    /// Flows are opened for this long after the latest acknowledged probe was
+    /// sent; it must be shorter than `suspicion`. A gap above it between two
+    /// inputs means the process was paused.
     duration silence_limit = 1s;
     /// A silent VM counts as possibly alive for this long.
     duration possibly_alive = 60s;
@@ -125,9 +125,9 @@
         return view_;
     }
 
-    /// Whether this VM may place new flows: a peer acknowledged a probe sent
-    /// within the silence limit and since the last pause. A VM that a list
-    /// shows to be the only one may as well.
+    /// Whether this VM may place new flows: a peer acknowledged a probe that
+    /// was sent within the silence limit, hence also after any longer pause. A
+    /// VM that a list shows to be the only one may as well.
     [[nodiscard]] bool may_open_flows(instant now) const;
 
     /// VMs of the data centre, this one included, that may still act: listed,
@@ -238,7 +238,6 @@
     std::vector<relayed_probe> relayed_;
     std::optional<instant> last_input_;
     std::optional<instant> last_acknowledged_;
-    bool resumed_unconfirmed_ = false;
     std::optional<instant> next_probe_;
     instant next_rejoin_;
     instant next_introduction_;
--- a/catkinkeel/vm/vm_test.cpp
+++ b/catkinkeel/vm/vm_test.cpp
@@ -208,6 +208,67 @@
     }
 }
 
+TEST_CASE("a paused VM buries nobody for what it missed")
+{
+    // Guards against timers that ran out during the VM's own pause.
+    membership paused({}, random_source(3));
+    paused.start(vm_network::make_member(vm(1)));
+    const auto news = [](std::uint32_t id, liveness state)
+    {
+        const member about = vm_network::make_member(vm(id));
+        return member_news{
+            about.id, about.data_centre, about.control, about.packets, 4,
+            state};
+    };
+    const auto state_of = [&](std::uint32_t id)
+    {
+        return paused.view().find(vm(id))->state;
+    };
+    instant now{};
+    CHECK(paused.tick(now).empty());
+    const auto heard = paused.handle(
+        vm(2),
+        probe{1, {}, {news(2, liveness::alive), news(3, liveness::suspect)}},
+        now);
+    CHECK(heard.size() == 1);
+    now += 600ms;
+    CHECK_FALSE(paused.tick(now).empty());
+    now += 10s;
+    CHECK_FALSE(paused.tick(now).empty());
+    CHECK(state_of(2) == liveness::alive);
+    CHECK(state_of(3) == liveness::suspect);
+    for (duration step{}; step < 1600ms; step += 100ms)
+    {
+        static_cast<void>(paused.tick(now + step));
+    }
+    CHECK(state_of(3) == liveness::dead);
+}
+
+TEST_CASE("a VM that hears of its death answers the teller at once")
+{
+    // Guards against a resumed VM that stays dead until gossip reaches all.
+    membership resumed({}, random_source(4));
+    const member self = vm_network::make_member(vm(1));
+    const member other = vm_network::make_member(vm(2));
+    resumed.start(self);
+    const auto out =
+        resumed.handle(vm(2),
+                       probe_ack{1,
+                                 {},
+                                 {{other.id, other.data_centre, other.control,
+                                   other.packets, 1, liveness::alive},
+                                  {self.id, self.data_centre, self.control,
+                                   self.packets, 7, liveness::dead}}},
+                       instant{});
+    REQUIRE(out.size() == 1);
+    CHECK(out[0].to == vm(2));
+    const auto& news = std::get<probe>(out[0].content).news;
+    REQUIRE_FALSE(news.empty());
+    CHECK(news.front().id == vm(1));
+    CHECK(news.front().incarnation == 8);
+    CHECK(news.front().state == liveness::alive);
+}
+
 TEST_CASE("only a list that names no other VM lets a VM act alone")
 {
     membership single({}, random_source(1));
