--- a/catkinkeel/target/steward.cpp
+++ b/catkinkeel/target/steward.cpp
@@ -50,10 +50,10 @@
                                });
 }
 
-bool listed_for_long(const steward_view& view, const steward_bounds& bounds,
-                     instant now)
+bool listed_for_long(const steward_view& view, const steward_bounds& bounds)
 {
-    return view.listed_since && now - *view.listed_since >= bounds.listed_for;
+    return view.list_as_of && view.listed_since &&
+           *view.list_as_of - *view.listed_since >= bounds.listed_for;
 }
 
 } // namespace
@@ -81,7 +81,7 @@
         within(view.list_as_of, bounds.list_age, now) ||
         all_others(view, [&](const possibly_alive_vm& vm)
                    { return within(vm.heard, bounds.list_age, now); });
-    return knows_all && (listed_for_long(view, bounds, now) ||
+    return knows_all && (listed_for_long(view, bounds) ||
                          all_others(view, [](const possibly_alive_vm& vm)
                                     { return vm.acknowledged.has_value(); }));
 }
@@ -90,7 +90,7 @@
                         instant now)
 {
     return within(view.list_as_of, bounds.list_age, now) &&
-           listed_for_long(view, bounds, now);
+           listed_for_long(view, bounds);
 }
 
 double steward_rule::part(const target& which, std::optional<vm_id> steward,
--- a/catkinkeel/target/steward.hpp
+++ b/catkinkeel/target/steward.hpp
@@ -45,7 +45,10 @@
     /// A moment at which the content of the list was right: the read of the
     /// list less the platform's delay. Empty before the first read.
     std::optional<instant> list_as_of;
-    /// Since when every list that this process has read names `self`.
+    /// `list_as_of` of the first list in an unbroken run of lists that name
+    /// `self`. The run ends with a list that does not, and where the next list
+    /// comes later than `steward_bounds::list_age` after the previous one's
+    /// `list_as_of`, since `self` may have been off the list in between.
     std::optional<instant> listed_since;
 
     friend bool operator==(const steward_view&, const steward_view&) = default;
@@ -57,9 +60,10 @@
 {
     /// Oldest content of a list with which a VM may act.
     duration list_age = 30s;
-    /// Longer than `list_age`, so that each VM that may act knows of this one;
-    /// 5 s cover clocks that run at different rates and the time between a
-    /// decision and its packet.
+    /// Time between the first and the last list of the run. Longer than
+    /// `list_age`, so that each VM that may act has seen a list of the run; 5 s
+    /// cover clocks that run at different rates and the time between a decision
+    /// and its packet. Time that passes without a new list does not count.
     duration listed_for = 35s;
 
     friend auto operator<=>(const steward_bounds&,
@@ -82,8 +86,9 @@
                                  const steward_bounds& bounds, instant now);
 
 /// Conditions that exclude two stewards: the list is young enough and every
-/// list of the last 35 s named this VM. They need no memory of an earlier
-/// process.
+/// list of 35 s named this VM. They need no memory of an earlier process. They
+/// assume that a VM that goes off the platform's list stays off it for longer
+/// than `list_age` and the platform's delay.
 bool may_act_as_steward(const steward_view& view, const steward_bounds& bounds,
                         instant now);
 
