--- a/spec/version.pml
+++ b/spec/version.pml
@@ -16,6 +16,12 @@
 #define N 3
 #define LAST 3
 
+#ifdef NO_HASH
+#define COMPLETE(chunk) (chunk > 0)
+#else
+#define COMPLETE(chunk) (chunk == index_of[_pid])
+#endif
+
 byte published = 1;
 byte effect[N];        /* 0 is none */
 byte highest[N];       /* ever in effect at the VM, over restarts */
@@ -42,10 +48,10 @@
 {
     if
 #ifndef NO_HASH
-    :: version == index_of[v] -> chunk[v] = version
+    :: version == index_of[v] -> chunk = version
     :: else
 #else
-    :: chunk[v] = version
+    :: chunk = version
 #endif
     fi
 }
@@ -82,17 +88,14 @@
         index_of[_pid] > 0 ->
         select(seen : 1 .. published);
         if
-        :: fetch(chunk_a, _pid, seen)
-        :: fetch(chunk_b, _pid, seen)
+        :: true -> fetch(chunk_a[_pid], _pid, seen)
+        :: true -> fetch(chunk_b[_pid], _pid, seen)
         fi;
         seen = 0
     }
     :: d_step {
-        index_of[_pid] > 0 && chunk_a[_pid] > 0 && chunk_b[_pid] > 0
-#ifndef NO_HASH
-        && chunk_a[_pid] == index_of[_pid] && chunk_b[_pid] == index_of[_pid]
-#endif
-        ->
+        index_of[_pid] > 0 && COMPLETE(chunk_a[_pid]) &&
+        COMPLETE(chunk_b[_pid]) ->
         effect[_pid] = index_of[_pid];
         assert(effect[_pid] >= highest[_pid]);
         assert(chunk_a[_pid] == effect[_pid] && chunk_b[_pid] == effect[_pid]);
