--- a/spec/flow.pml
+++ b/spec/flow.pml
@@ -19,7 +19,6 @@
  *
  * Each macro takes a rule out:
  *  NO_FENCE        a VM that was paused or is cut off goes on as before
- *  FENCE_OPENING   it stops for opening packets only, as section 5.3 says
  *  NO_MARK_ACK     a holder opens flows under the new service before the standby
  *                  has acknowledged that the reference is mixed (section 5.2)
  *  GUESS_MIXED     a standby takes a mixed reference's flow to the base table
@@ -27,11 +26,14 @@
  *                  section 5.2 allows with an hour of history
  *  NO_HANDOVER_ACK a new owner decides before it has the holder's state
  *  LATE_REPLICATION a VM acknowledges replication for a bucket that it holds, or
- *                  from a VM that it has declared dead
+ *                  from a VM that it has declared dead, or before it has found
+ *                  out what it missed
  *  ONE_ACK         one peer's acknowledgement is enough, as section 5.3 says
  *  KEEP_REPLICA    a VM that was paused or cut off keeps what it holds of others
  *                  and follows base tables as before
  *  FORGET_INHERITED a VM that took over does not pass on the mark that it got
+ *  KEEP_FORMER     a former standby need not know that a reference is mixed
+ *                  (shows with two deaths)
  *  NO_REVALIDATION a VM that others declared dead stays holder afterwards
  */
 #ifdef NO_FENCE
@@ -44,7 +46,7 @@
 #ifdef LATE_REPLICATION
 #define ACCEPTS(s, v) true
 #else
-#define ACCEPTS(s, v) (ALIVE_TO(s, v) && !holds[s])
+#define ACCEPTS(s, v) (ALIVE_TO(s, v) && !holds[s] && !fenced[s])
 #endif
 /* w is the peer that acknowledges, for ONE_ACK. */
 #ifdef ONE_ACK
@@ -87,6 +89,14 @@
 byte deaths, troubles;
 
 #define WORKS(v) (up[v] && !paused[v])
+/* h has not heard that w knows of the mixed reference. */
+#define UNMARKED(h, w) (w != h && !(mark_acked & (1 << (w))))
+#ifdef KEEP_FORMER
+#define FORMER_UNMARKED(h) false
+#else
+#define FORMER_UNMARKED(h) (GIVEN(h, (h + 1) % N) || GIVEN(h, (h + 2) % N))
+#define GIVEN(h, w) (has_replica[w] && ALIVE_TO(h, w) && UNMARKED(h, w))
+#endif
 #define LINK(v, w) (WORKS(v) && WORKS(w) && !cut[v] && !cut[w])
 #define ALIVE_TO(v, w) (v == w || !knows_dead[v * N + w])
 #define FIRST(v) ((v == 0 || !ALIVE_TO(v, 0)) && \
@@ -119,9 +129,7 @@
     :: record[v] == NONE && replica[v] != NONE -> deliver(v, replica[v])
     :: record[v] == NONE && replica[v] == NONE ->
         if
-#ifndef FENCE_OPENING
         :: fenced[v] -> skip                      /* dropped */
-#endif
 #ifndef GUESS_MIXED
         :: mixed[v] || newer[v] -> skip           /* dropped */
 #endif
@@ -216,7 +224,7 @@
             choose_standby(v);
             if
 #ifndef NO_MARK_ACK
-            :: newer[v] && s != v && !(mark_acked & (1 << s)) -> skip
+            :: newer[v] && (UNMARKED(v, s) || FORMER_UNMARKED(v)) -> skip
 #endif
             :: else -> open(v)
             fi
@@ -229,6 +237,11 @@
             :: s != v && LINK(v, s) && ACCEPTS(s, v) -> replicate(v, s)
             :: else
             fi
+        /* A former standby gives its replica up. */
+        :: v != w && WORKS(v) && holds[v] && LINK(v, w) && !holds[w] &&
+           has_replica[w] ->
+            choose_standby(v);
+            if :: s != w -> drop_replica(w) :: else fi
         /* Planned change of owner: claim, handover, acknowledgement. */
         :: v != w && holds[v] && !holds[w] && LINK(v, w) && FIRST(w) &&
            newer[v] == newer[w] && !fenced[v] && !fenced[w] && w < v ->
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Installs what is missing, builds, and runs every test.
+# Installs what is missing, builds, runs every test and checks the models.
 # Usage: tools/test.sh [build directory]
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -8,3 +8,4 @@
 cmake -S . -B "$build" -G Ninja >/dev/null
 cmake --build "$build"
 ctest --test-dir "$build" --output-on-failure -j 4
+spec/check.sh
