--- a/catkinkeel/target/target_registry.cpp
+++ b/catkinkeel/target/target_registry.cpp
@@ -132,7 +132,7 @@
             made.poller = former->second.poller;
             made.polled_since = former->second.polled_since;
         }
-        next.emplace(each.id, std::move(made));
+        next.emplace(each.id, made);
     }
     entries_ = std::move(next);
     set_ = std::move(set);
@@ -214,12 +214,18 @@
 void target_registry::choose_readers(instant now)
 {
     polled_.clear();
+    std::unordered_map<data_centre_id, std::vector<possibly_alive_vm>> by_zone;
+    for (const possibly_alive_vm& vm : view_.possibly_alive)
+    {
+        by_zone[vm.data_centre].push_back(vm);
+    }
     for (auto& [id, each] : entries_)
     {
         const bool before = polled_here(each);
         const data_centre_id zone = each.published.data_centre;
-        each.steward = steward_of(id, zone, view_.possibly_alive);
-        each.poller = poller_of(id, zone, view_.possibly_alive);
+        const std::vector<possibly_alive_vm>& vms = by_zone[zone];
+        each.steward = steward_of(id, zone, vms);
+        each.poller = poller_of(id, zone, vms);
         if (polled_here(each))
         {
             polled_.push_back(id);
