Close dialing sockets on a thread that nobody waits for

Cause: one of up to 60 runs of the link tests hung for 9 minutes in nng_close of a PUSH socket, with the transport's mutex held, so one closing peer could stop all sending. Closing now happens outside the mutex on its own thread.

--- a/catkinkeel/link/transport.cpp
+++ b/catkinkeel/link/transport.cpp
@@ -38,6 +38,21 @@
     return value;
 }
 
+/// Closes sockets on a thread of their own that nobody waits for: nng_close of
+/// nng 1.5.2 was seen to wait for ever on a dialing socket whose peer closes.
+void close_in_background(std::vector<nng_socket> sockets)
+{
+    std::thread(
+        [closing = std::move(sockets)]
+        {
+            for (const nng_socket each : closing)
+            {
+                nng_close(each);
+            }
+        })
+        .detach();
+}
+
 } // namespace
 
 outcome<std::shared_ptr<transport>>
@@ -112,10 +127,12 @@
             return;
         }
         closed_ = true;
+        std::vector<nng_socket> sockets;
         for (const auto& [id, line] : lines_)
         {
-            nng_close(line.socket);
+            sockets.push_back(line.socket);
         }
+        close_in_background(std::move(sockets));
         lines_.clear();
     }
     // Ends the receive thread's wait.
@@ -430,7 +447,7 @@
     const auto line = lines_.extract(id);
     if (!line.empty())
     {
-        nng_close(line.mapped().socket);
+        close_in_background({line.mapped().socket});
     }
 }
 
