Share the ramp limit of a cold target by grants

Cause: only the steward of a cold target placed flows on it, and a VM places only flows of its own buckets. VMs that are steward of few targets of a service refused flows that others could have placed.

VMs ask the steward for a part of the ramp limit in target_news; the steward divides what each step of the ramp adds. What was granted to a process stays allotted until the ramp restarts, so the sum of all limits stays below the ramp whatever happens to the messages. capacity_share is computed before the first flow of a service too, since requests name it.

--- a/catkinkeel/daemon/decider.cpp
+++ b/catkinkeel/daemon/decider.cpp
@@ -41,6 +41,20 @@
             .listed_for = settings.vm_list_lag + 15s};
 }
 
+/// The part of a target's traffic that the balancer expects at this VM.
+class core_demand final : public traffic_demand
+{
+public:
+    explicit core_demand(balancer& core) : core_(core) {}
+    [[nodiscard]] double part_of(target_id id) const override
+    {
+        return core_.capacity_share(id);
+    }
+
+private:
+    balancer& core_;
+};
+
 } // namespace
 
 decider::decider(const daemon_settings& settings, decider_parts parts)
@@ -265,14 +279,19 @@
 
 void decider::send_target_news(instant now)
 {
-    const target_news news = targets_.take_news(now);
-    if (news.changes.empty())
-    {
-        return;
-    }
+    const target_news changes = targets_.take_news(now);
+    const core_demand demand(core_);
+    std::map<vm_id, target_news> letters =
+        targets_.take_grant_news(demand, now);
     for (const member& each : view_.members)
     {
-        if (each.id != settings_.id && each.may_own())
+        if (each.id == settings_.id || !each.may_own())
+        {
+            continue;
+        }
+        target_news news = std::move(letters[each.id]);
+        news.changes = changes.changes;
+        if (!news.empty())
         {
             parts_.link->send({each.id, news}, now);
         }
--- a/catkinkeel/flow/balancer.cpp
+++ b/catkinkeel/flow/balancer.cpp
@@ -406,25 +406,18 @@
     return found == held_.end() ? 0 : found->second;
 }
 
-double balancer::capacity_share(target_id id) const
+double balancer::capacity_share(target_id id)
 {
     const target* found =
         context_.set ? context_.set->find_target(id) : nullptr;
-    if (found == nullptr)
+    if (found == nullptr || !context_.plan)
     {
         return 0;
     }
-    const auto load = loads_.find(found->service);
-    if (load == loads_.end())
-    {
-        // No flow of the service was opened here since the last change.
-        return 1.0 / static_cast<double>(
-                         std::max<std::size_t>(1, view_.members.size()));
-    }
-    const auto at =
-        std::ranges::find(load->second.targets, id,
-                          [](const target_load& l) { return l.what->id; });
-    return at == load->second.targets.end() ? 0 : at->capacity_share;
+    const std::vector<target_load>& loads = expect_load(found->service).targets;
+    const auto at = std::ranges::find(
+        loads, id, [](const target_load& l) { return l.what->id; });
+    return at == loads.end() ? 0 : at->capacity_share;
 }
 
 balancer::service_load balancer::make_load(service_id service) const
@@ -445,6 +438,10 @@
     {
         const placement_table_ptr table =
             context_.plan->table(service, home.id);
+        if (!table)
+        {
+            continue;
+        }
         const auto owned = owned_share_.find(home.id.value);
         const double own = owned == owned_share_.end() ? 0 : owned->second;
         double total = 0;
@@ -472,14 +469,19 @@
     return load;
 }
 
-balancer::service_load& balancer::load_of(service_id service, instant now)
+balancer::service_load& balancer::expect_load(service_id service)
 {
     auto found = loads_.find(service);
     if (found == loads_.end())
     {
         found = loads_.emplace(service, make_load(service)).first;
     }
-    service_load& load = found->second;
+    return found->second;
+}
+
+balancer::service_load& balancer::load_of(service_id service, instant now)
+{
+    service_load& load = expect_load(service);
     if (!load.refreshed || now - *load.refreshed >= load_refresh)
     {
         load.refreshed = now;
--- a/catkinkeel/flow/balancer.hpp
+++ b/catkinkeel/flow/balancer.hpp
@@ -167,7 +167,7 @@
 
     /// This VM's part of a target's flows, in [0, 1]; the parts of all VMs sum
     /// to at most 1.
-    [[nodiscard]] double capacity_share(target_id id) const;
+    [[nodiscard]] double capacity_share(target_id id);
 
     [[nodiscard]] bool holds(bucket_id bucket) const
     {
@@ -266,6 +266,7 @@
     [[nodiscard]] bool accepts_new(target_id id, instant now) const;
     std::optional<target_id> place(const reference& ref, std::uint64_t hash,
                                    instant now, std::optional<target_id> avoid);
+    service_load& expect_load(service_id service);
     service_load& load_of(service_id service, instant now);
     service_load make_load(service_id service) const;
     flow_record* add_flow(const flow_record& record, std::uint64_t hash);
--- a/catkinkeel/link/internal/wire_fields.hpp
+++ b/catkinkeel/link/internal/wire_fields.hpp
@@ -140,10 +140,40 @@
         &chunk_part::offset,  &chunk_part::total, &chunk_part::text};
 };
 
+template <>
+struct wire_fields<grant_request>
+{
+    static constexpr std::tuple members{&grant_request::id,
+                                        &grant_request::part};
+};
+
+template <>
+struct wire_fields<grant_requests>
+{
+    static constexpr std::tuple members{&grant_requests::session,
+                                        &grant_requests::stamp,
+                                        &grant_requests::wanted};
+};
+
+template <>
+struct wire_fields<target_grant>
+{
+    static constexpr std::tuple members{
+        &target_grant::id, &target_grant::instance, &target_grant::limit};
+};
+
+template <>
+struct wire_fields<target_grants>
+{
+    static constexpr std::tuple members{
+        &target_grants::session, &target_grants::stamp, &target_grants::given};
+};
+
 template <>
 struct wire_fields<target_news>
 {
-    static constexpr std::tuple members{&target_news::changes};
+    static constexpr std::tuple members{
+        &target_news::changes, &target_news::requests, &target_news::grants};
 };
 
 template <class T>
--- a/catkinkeel/target/cold_bound_test.cpp
+++ b/catkinkeel/target/cold_bound_test.cpp
@@ -1,7 +1,8 @@
 // Several registries side by side in virtual time, with partitions, restarts,
-// lagging lists, lost news and misleading reports. Guards against two VMs
-// placing flows on a cold target at the same time, and against a VM that takes
-// a cold target for warm. The ramp goes on beyond the capacity here: above it,
+// lagging lists, misleading reports, and messages that are lost, late, doubled
+// and out of order. Guards against stewards and the VMs that hold their grants
+// together exceeding the ramp limit, and against a VM that takes a cold target
+// for warm. The ramp goes on beyond the capacity here: above it,
 // a misleading report hides what the former steward placed, and no rule that
 // needs no messages can count it.
 
@@ -29,6 +30,8 @@
 /// The platform's delay, within which its answers lag at random.
 constexpr duration list_delay = 20s;
 constexpr duration possibly_alive_hold = 60s;
+/// Longest delay of a message, far beyond the life of a grant.
+constexpr std::uint64_t latest_message_seconds = 120;
 
 using vm_set = std::array<bool, fleet>;
 
@@ -51,6 +54,24 @@
     std::uint32_t counted = 0;
 };
 
+struct message_in_flight
+{
+    std::size_t from = 0;
+    std::size_t to = 0;
+    target_news news;
+    instant due;
+};
+
+/// Any part of the traffic, also parts that sum to more than 1.
+struct changing_demand final : traffic_demand
+{
+    double part = 0;
+    [[nodiscard]] double part_of(target_id /*id*/) const override
+    {
+        return part;
+    }
+};
+
 class simulation
 {
 public:
@@ -83,6 +104,7 @@
             disturb();
             history_.push_front(list_);
             history_.pop_back();
+            deliver();
             for (std::size_t i = 0; i < fleet; ++i)
             {
                 if (running_[i])
@@ -110,6 +132,11 @@
         return ever_ramped_;
     }
 
+    [[nodiscard]] bool anyone_used_a_grant() const
+    {
+        return ever_granted_;
+    }
+
 private:
     bool chance(std::uint64_t one_in)
     {
@@ -269,6 +296,37 @@
             poller.held, now_);
     }
 
+    void post(std::size_t from, std::size_t to, const target_news& news)
+    {
+        if (!connected(from, to) || chance(3))
+        {
+            return;
+        }
+        const duration delay =
+            chance(8) ? random_.below(latest_message_seconds) * 1s + tick_length
+                      : (1 + random_.below(9)) * tick_length;
+        in_flight_.push_back({from, to, news, now_ + delay});
+        if (chance(8))
+        {
+            in_flight_.push_back({from, to, news, now_ + 3 * delay});
+        }
+    }
+
+    void deliver()
+    {
+        for (const message_in_flight& each : in_flight_)
+        {
+            if (each.due <= now_ && running_[each.to] &&
+                paused_until_[each.to] <= now_)
+            {
+                running_[each.to]->targets.apply_news(id_of(each.from),
+                                                      each.news, now_);
+            }
+        }
+        std::erase_if(in_flight_, [this](const message_in_flight& each)
+                      { return each.due <= now_; });
+    }
+
     void step(std::size_t self, process& each)
     {
         if (paused_until_[self] > now_)
@@ -301,6 +359,13 @@
                 }
             }
         }
+        changing_demand demand;
+        demand.part = static_cast<double>(random_.below(5)) / 4;
+        for (const auto& [to, letter] :
+             each.targets.take_grant_news(demand, now_))
+        {
+            post(self, to.value - 1, letter);
+        }
     }
 
     void place(std::size_t self, process& each)
@@ -331,11 +396,13 @@
             }
             return;
         }
+        // The whole share: the ramp alone must bound the flows.
         const bearing bears =
-            each.targets.bearing_of(published, 1.0 / fleet, each.held, now_);
+            each.targets.bearing_of(published, 1.0, each.held, now_);
         if (bears.limit > each.held && !known.warm)
         {
             each.counted += knows_instance ? bears.limit - each.held : 0;
+            ever_granted_ |= knows_instance && !known.tenure;
             each.held = bears.limit;
         }
         if (carried() > allowed)
@@ -363,6 +430,8 @@
     std::uint32_t orphans_ = 0;
     std::optional<instant> ramp_began_;
     bool ever_ramped_ = false;
+    bool ever_granted_ = false;
+    std::vector<message_in_flight> in_flight_;
     std::string violation_;
 };
 
@@ -371,12 +440,14 @@
 TEST_CASE("over all VMs a cold target gets no more than one ramp allows")
 {
     int ramped = 0;
+    int granted = 0;
     CHECK(rc::check("cold bound",
                     [&](std::uint64_t seed)
                     {
                         simulation world(seed, &may_act_as_steward);
                         const std::string violation = world.run(600s);
                         ramped += world.anyone_ramped() ? 1 : 0;
+                        granted += world.anyone_used_a_grant() ? 1 : 0;
                         if (!violation.empty())
                         {
                             RC_FAIL(violation);
@@ -384,4 +455,5 @@
                     }));
     // The bound must not hold for want of any flow.
     CHECK(ramped >= 50);
+    CHECK(granted >= 20);
 }
--- a/catkinkeel/target/steward.hpp
+++ b/catkinkeel/target/steward.hpp
@@ -1,8 +1,7 @@
 #pragma once
 
-// Which entry VM may place flows on a cold target. At most one VM of the
-// target's data centre may at any time, whatever the VMs' views are, so that
-// the ramp limit needs no messages.
+// Which entry VM decides on the ramp limit of a cold target. At most one VM of
+// the target's data centre does at any time, whatever the VMs' views are.
 
 #include "catkinkeel/base/identifier.hpp"
 #include "catkinkeel/base/time.hpp"
--- a/catkinkeel/target/target_registry.cpp
+++ b/catkinkeel/target/target_registry.cpp
@@ -94,7 +94,9 @@
 
 target_registry::target_registry(std::shared_ptr<const cold_start_rule> rule,
                                  std::uint64_t first_sequence)
-    : rule_(std::move(rule)), sequence_(first_sequence)
+    : rule_(std::move(rule)),
+      sequence_(first_sequence),
+      session_(first_sequence)
 {
 }
 
@@ -131,6 +133,8 @@
             made.steward = former->second.steward;
             made.poller = former->second.poller;
             made.polled_since = former->second.polled_since;
+            made.book = former->second.book;
+            made.grant = former->second.grant;
         }
         next.emplace(each.id, std::move(made));
     }
@@ -154,6 +158,7 @@
     each.known = report ? with_report(each.known, report.value(), held,
                                       each.published.connections, now)
                         : without_report(each.known, report.error().kind);
+    divide_ramp(id, each, now);
     if (each.known.reachable != reachable)
     {
         count_reachable();
@@ -187,12 +192,15 @@
         each.known = with_status(each.known, status,
                                  from == each.poller || from == each.steward,
                                  polled_here(each), now);
+        divide_ramp(status.id, each, now);
         counts_changed |= each.known.reachable != reachable;
     }
     if (counts_changed)
     {
         count_reachable();
     }
+    apply_requests(from, news.requests, now);
+    apply_grants(news.grants, now);
 }
 
 void target_registry::apply_stewardship(steward_view view, instant now)
@@ -230,6 +238,7 @@
             each.known.failures = 0;
             each.known.last_sign = now;
             each.known.tenure.reset();
+            each.book = each.book.without_grants();
             each.polled_since = now;
             each.told.reset();
         }
@@ -257,6 +266,7 @@
     const bool acting = each.open && rule_->part(each.published, each.steward,
                                                  view_, now) > 0.0;
     each.known = with_tenure(each.known, acting, now);
+    divide_ramp(each.published.id, each, now);
 }
 
 void target_registry::tick(instant now)
@@ -289,7 +299,7 @@
     }
     const entry& each = found->second;
     return each.known.warm ? warm_bearing(each, share, held)
-                           : cold_bearing(each, held, now);
+                           : cold_bearing(each, share, held, now);
 }
 
 bearing target_registry::warm_bearing(const entry& from, double share,
@@ -316,22 +326,25 @@
     return {others ? 0 : limit, bearing_reason::unreachable};
 }
 
-bearing target_registry::cold_bearing(const entry& from, std::uint32_t held,
-                                      instant now) const
+bearing target_registry::cold_bearing(const entry& from, double share,
+                                      std::uint32_t held, instant now) const
 {
-    const std::optional<ramp>& tenure = from.known.tenure;
-    const double part =
-        tenure && now - tenure->confirmed <= ramp::longest_gap
-            ? rule_->part(from.published, from.steward, view_, now)
-            : 0.0;
-    if (part <= 0.0)
+    // Each VM stays within its share of the capacity, so that VMs which still
+    // use grants and VMs which know that the target is warm stay within it
+    // together.
+    const std::uint32_t most = fraction(from.published.connections, share);
+    const std::uint32_t granted =
+        from.grant ? from.grant->limit_at(from.known.instance, now) : 0;
+    if (acting_part(from, now) <= 0.0)
     {
-        return {0, bearing_reason::cold_not_steward};
+        return {std::min(most, granted),
+                granted > 0 ? bearing_reason::ramping
+                            : bearing_reason::cold_not_steward};
     }
-    const std::uint32_t limit =
-        fraction(tenure->limit(from.published.connections), part);
-    return {own_limit(limit, from.known.connections, held),
-            bearing_reason::ramping};
+    const std::uint32_t own =
+        std::min(from.book.own(),
+                 own_limit(from.book.limit, from.known.connections, held));
+    return {std::min(most, std::max(own, granted)), bearing_reason::ramping};
 }
 
 std::vector<target_id> target_registry::targets_to_poll(instant now)
--- a/catkinkeel/target/target_registry.hpp
+++ b/catkinkeel/target/target_registry.hpp
@@ -11,12 +11,15 @@
 //   for (target_id id : targets.targets_to_poll(now)) { fetch(id); }
 //   targets.apply_report(id, parse_load_report(body), held, now);
 //   send_to_all(targets.take_news(now));
+//   send_each(targets.take_grant_news(demand, now));
 
 #include "catkinkeel/contract/published_set.hpp"
 #include "catkinkeel/target/bearing.hpp"
+#include "catkinkeel/target/grants.hpp"
 #include "catkinkeel/target/knowledge.hpp"
 #include "catkinkeel/target/steward.hpp"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -79,6 +82,11 @@
     /// Changes to tell all other VMs, at most `most_changes_in_news`.
     target_news take_news(instant now);
 
+    /// Requests for grants and grants, by receiver. Requests are due each
+    /// `request_period`; grants when they are asked for or grow.
+    std::map<vm_id, target_news> take_grant_news(const traffic_demand& demand,
+                                                 instant now);
+
     /// What a VM that has just started needs: the targets that this VM polls,
     /// and those that the newcomer polls in this VM's view. The latter let it
     /// recognize a warm target by its instance.
@@ -104,6 +112,10 @@
         /// Since when this VM polls it, if it does.
         instant polled_since;
         std::optional<told_status> told;
+        /// How this VM divides the ramp limit while it is the steward.
+        grant_book book;
+        /// What this VM was granted by a steward.
+        std::optional<held_grant> grant;
     };
     struct service_health
     {
@@ -115,8 +127,16 @@
     [[nodiscard]] report_reader reader_of(const entry& from) const;
     [[nodiscard]] bearing warm_bearing(const entry& from, double share,
                                        std::uint32_t held) const;
-    [[nodiscard]] bearing cold_bearing(const entry& from, std::uint32_t held,
-                                       instant now) const;
+    [[nodiscard]] bearing cold_bearing(const entry& from, double share,
+                                       std::uint32_t held, instant now) const;
+    [[nodiscard]] double acting_part(const entry& from, instant now) const;
+    void divide_ramp(target_id id, entry& each, instant now);
+    void apply_requests(vm_id from, const grant_requests& requests,
+                        instant now);
+    void apply_grants(const target_grants& grants, instant now);
+    void take_requests(const traffic_demand& demand, instant now,
+                       std::map<vm_id, target_news>& into);
+    void take_grants(instant now, std::map<vm_id, target_news>& into);
     void choose_readers(instant now);
     void count_reachable();
     void advance(entry& each, instant now);
@@ -124,6 +144,8 @@
 
     std::shared_ptr<const cold_start_rule> rule_;
     std::uint64_t sequence_;
+    /// Identifies this process in requests for grants.
+    std::uint64_t session_;
     published_set_ptr set_;
     steward_view view_;
     std::unordered_map<target_id, entry> entries_;
@@ -133,6 +155,7 @@
     std::unordered_map<std::uint64_t, std::uint64_t> heard_;
     std::optional<instant> walked_;
     std::optional<instant> polled_until_;
+    std::optional<instant> requested_;
 };
 
 } // namespace catkinkeel
