Describe the reason of a cold target without a grant

Cause: a VM that is not the steward may now place flows under a grant, but the comments said that only the steward does. Conclusion: comments only.

--- a/catkinkeel/operators/documents.hpp
+++ b/catkinkeel/operators/documents.hpp
@@ -107,7 +107,7 @@
     std::uint32_t connections = 0;
     std::uint32_t busy_slots = 0;
     std::uint64_t report_age_ms = 0;
-    /// VM that may place flows on it while it is cold; 0 if uncertain.
+    /// VM that divides its ramp limit while it is cold; 0 if uncertain.
     vm_id steward;
 
     friend auto operator<=>(const target_view&, const target_view&) = default;
--- a/catkinkeel/target/bearing.hpp
+++ b/catkinkeel/target/bearing.hpp
@@ -16,6 +16,7 @@
 {
     warm,
     ramping,
+    /// Cold, and this VM is neither the steward nor holds a grant.
     cold_not_steward,
     draining,
     unreachable,
