--- a/catkinkeel/testing/caller_model.cpp
+++ b/catkinkeel/testing/caller_model.cpp
@@ -16,10 +16,10 @@
 
 } // namespace
 
-caller_model::caller_model(fake_group& group, endpoint public_endpoint,
+caller_model::caller_model(packet_carrier& carrier, endpoint public_endpoint,
                            std::function<service_id(target_id)> service_of,
                            std::uint32_t caller_base)
-    : group_(group),
+    : carrier_(carrier),
       public_endpoint_(public_endpoint),
       service_of_(std::move(service_of)),
       next_caller_(caller_base)
@@ -37,7 +37,7 @@
                           public_endpoint_,
                           protocol::tcp};
         flow.service = service.value_or(service_id{});
-        flow.opened_at = group_.now();
+        flow.opened_at = carrier_.now();
         attempt_opening(flow);
         flows_.push_back(flow);
     }
@@ -54,12 +54,12 @@
     ++counts_.packets;
     packet_facts facts = flow.facts;
     facts.phase = flow_phase::opening;
-    const packet_end end = group_.spray(facts);
+    const packet_end end = carrier_.spray(facts);
     if (const auto* reached = std::get_if<delivered>(&end))
     {
         ++counts_.opened;
         counts_.served_within_1s +=
-            group_.now() - flow.opened_at <= opening_timeout ? 1U : 0U;
+            carrier_.now() - flow.opened_at <= opening_timeout ? 1U : 0U;
         flow.target = reached->target;
         const service_id service = service_of_(reached->target);
         if (flow.service == service_id{})
@@ -69,7 +69,7 @@
         counts_.misdirected += service == flow.service ? 0U : 1U;
         return;
     }
-    flow.retry_at = group_.now() + opening_timeout;
+    flow.retry_at = carrier_.now() + opening_timeout;
     if (std::holds_alternative<refused>(end))
     {
         ++counts_.refused;
@@ -77,7 +77,7 @@
         return;
     }
     ++counts_.packets_lost;
-    if (group_.now() - flow.opened_at > caller_patience)
+    if (carrier_.now() - flow.opened_at > caller_patience)
     {
         ++counts_.never_served;
         flow.over = true;
@@ -88,14 +88,14 @@
 {
     if (!flow.target)
     {
-        if (group_.now() >= flow.retry_at)
+        if (carrier_.now() >= flow.retry_at)
         {
             attempt_opening(flow);
         }
         return;
     }
     ++counts_.packets;
-    const packet_end end = group_.spray(flow.facts);
+    const packet_end end = carrier_.spray(flow.facts);
     const auto* reached = std::get_if<delivered>(&end);
     if (reached == nullptr)
     {
@@ -127,7 +127,7 @@
 {
     for (open_flow& flow : flows_)
     {
-        if (part >= 1.0 || group_.random.unit() < part)
+        if (part >= 1.0 || carrier_.random.unit() < part)
         {
             send_one(flow);
         }
@@ -140,13 +140,13 @@
     std::erase_if(flows_,
                   [&](const open_flow& flow)
                   {
-                      if (!flow.target || group_.random.unit() >= part)
+                      if (!flow.target || carrier_.random.unit() >= part)
                       {
                           return false;
                       }
                       packet_facts facts = flow.facts;
                       facts.phase = flow_phase::finishing;
-                      group_.spray(facts);
+                      carrier_.spray(facts);
                       return true;
                   });
 }
--- a/catkinkeel/testing/caller_model.hpp
+++ b/catkinkeel/testing/caller_model.hpp
@@ -3,7 +3,7 @@
 // Callers that open flows, send packets and notice when one of them reaches the
 // wrong place.
 
-#include "catkinkeel/testing/fake_group.hpp"
+#include "catkinkeel/testing/packet_carrier.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -27,7 +27,7 @@
     std::uint64_t broken = 0;
     /// Packets at a target of another service than the flow's.
     std::uint64_t misdirected = 0;
-    /// Broken flows that had been open for 5 s when the group was last marked.
+    /// Broken flows that had been open for 5 s when they were last marked.
     std::uint64_t broken_settled = 0;
     std::uint64_t packets = 0;
     std::uint64_t packets_lost = 0;
@@ -48,13 +48,13 @@
     bool over = false;
 };
 
-/// Drives flows of one public address through a group. All times are the
-/// group's.
+/// Drives flows of one public address through a carrier. All times are the
+/// carrier's.
 class caller_model
 {
 public:
     /// `service_of` tells the service of a target.
-    caller_model(fake_group& group, endpoint public_endpoint,
+    caller_model(packet_carrier& carrier, endpoint public_endpoint,
                  std::function<service_id(target_id)> service_of,
                  std::uint32_t caller_base = 0x0a000000);
 
@@ -91,7 +91,7 @@
     /// Flows open for 5 s by now count as settled from here on.
     void mark_settled()
     {
-        settled_at_ = group_.now();
+        settled_at_ = carrier_.now();
     }
 
 private:
@@ -99,7 +99,7 @@
     void attempt_opening(open_flow& flow);
     void forget_finished();
 
-    fake_group& group_;
+    packet_carrier& carrier_;
     endpoint public_endpoint_;
     std::function<service_id(target_id)> service_of_;
     std::vector<open_flow> flows_;
--- a/catkinkeel/testing/fake_group.cpp
+++ b/catkinkeel/testing/fake_group.cpp
@@ -40,7 +40,7 @@
 }
 
 fake_group::fake_group(const group_settings& settings)
-    : random(settings.seed), settings_(settings)
+    : packet_carrier(settings.seed), settings_(settings)
 {
 }
 
--- a/catkinkeel/testing/fake_group.hpp
+++ b/catkinkeel/testing/fake_group.hpp
@@ -5,8 +5,8 @@
 // of a cluster: one packet is carried at a time, and only control messages take
 // time.
 
-#include "catkinkeel/base/random.hpp"
 #include "catkinkeel/flow/balancer.hpp"
+#include "catkinkeel/testing/packet_carrier.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -14,7 +14,6 @@
 #include <memory>
 #include <optional>
 #include <set>
-#include <variant>
 #include <vector>
 
 namespace catkinkeel::testing
@@ -56,30 +55,7 @@
     duration news_delay = 300ms;
 };
 
-/// Where a packet ended.
-struct delivered
-{
-    target_id target;
-    /// VM that decided.
-    vm_id by;
-
-    friend auto operator<=>(const delivered&, const delivered&) = default;
-};
-struct refused
-{
-    refusal_reason reason = refusal_reason::no_capacity;
-
-    friend auto operator<=>(const refused&, const refused&) = default;
-};
-struct lost
-{
-    std::optional<discard_reason> reason;
-
-    friend auto operator<=>(const lost&, const lost&) = default;
-};
-using packet_end = std::variant<delivered, refused, lost>;
-
-class fake_group
+class fake_group final : public packet_carrier
 {
 public:
     explicit fake_group(const group_settings& settings);
@@ -110,9 +86,9 @@
     /// Carries a packet from the fabric into `entry` and along relays.
     packet_end send(const packet_facts& facts, vm_id entry);
     /// As `send`, at a random live VM.
-    packet_end spray(const packet_facts& facts);
+    packet_end spray(const packet_facts& facts) override;
 
-    [[nodiscard]] instant now() const
+    [[nodiscard]] instant now() const override
     {
         return now_;
     }
@@ -129,7 +105,6 @@
     [[nodiscard]] bool holdings_settled() const;
 
     fake_bearings bearings;
-    random_source random;
 
 private:
     struct vm
--- /dev/null
+++ b/measure/policy_fleet.cpp
@@ -0,0 +1,390 @@
+#include "measure/policy_fleet.hpp"
+
+#include "catkinkeel/base/hash.hpp"
+#include "catkinkeel/testing/fake_group.hpp"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace catkinkeel::measure
+{
+
+namespace
+{
+
+using testing::delivered;
+using testing::lost;
+using testing::packet_end;
+using testing::refused;
+
+/// A named value: g++ 12 warns of an uninitialized member where a function
+/// returns `lost{}` (-Wmaybe-uninitialized).
+const packet_end dropped{lost{}};
+
+/// The balancer of the decision library.
+class keel_fleet final : public fleet
+{
+public:
+    explicit keel_fleet(const fleet_settings& settings)
+        : group_({.seed = settings.seed,
+                  .balancer = {.load_epsilon = settings.load_epsilon}})
+    {
+    }
+
+    testing::packet_carrier& carrier() override
+    {
+        return group_;
+    }
+    void add_vm(vm_id id, data_centre_id data_centre) override
+    {
+        group_.add_vm(id, data_centre);
+    }
+    void kill(vm_id id) override
+    {
+        group_.kill(id);
+    }
+    void leave(vm_id id) override
+    {
+        group_.leave(id);
+    }
+    void remove(vm_id id) override
+    {
+        group_.remove(id);
+    }
+    void give_set(vm_id id, const published_objects& objects) override
+    {
+        group_.give_set(id, objects);
+    }
+    void publish(const published_objects& objects, duration spread) override
+    {
+        group_.publish(objects, spread);
+    }
+    void run_for(duration time) override
+    {
+        group_.run_for(time);
+    }
+    [[nodiscard]] bool settled() const override
+    {
+        return group_.holdings_settled();
+    }
+    [[nodiscard]] std::uint64_t control_bytes(vm_id id) const override
+    {
+        return group_.control_bytes(id);
+    }
+    [[nodiscard]] balancer_stats stats(vm_id id) override
+    {
+        return group_.at(id).stats();
+    }
+
+private:
+    testing::fake_group group_;
+};
+
+/// Members and sets of the two baselines. Times are those of `fake_group`.
+class simple_fleet : public fleet, private testing::packet_carrier
+{
+public:
+    explicit simple_fleet(const fleet_settings& settings)
+        : packet_carrier(settings.seed)
+    {
+    }
+
+    testing::packet_carrier& carrier() override
+    {
+        return *this;
+    }
+    void add_vm(vm_id id, data_centre_id data_centre) override
+    {
+        vms_[id] = {.about = {.id = id,
+                              .data_centre = data_centre,
+                              .incarnation = 1,
+                              .listed = true},
+                    .changed_at = now_};
+        maps_.clear();
+    }
+    void kill(vm_id id) override
+    {
+        vms_.at(id).running = false;
+        vms_.at(id).changed_at = now_;
+    }
+    void leave(vm_id id) override
+    {
+        vms_.at(id).leaving = true;
+        vms_.at(id).changed_at = now_;
+    }
+    void remove(vm_id id) override
+    {
+        vms_.at(id).running = false;
+    }
+    void give_set(vm_id id, const published_objects& objects) override
+    {
+        vm& to = vms_.at(id);
+        to.set = std::make_shared<const published_set>(objects);
+        to.plan = std::make_shared<const placement_plan>(
+            *to.set, group_of(*to.set, to.about.data_centre), placement_plan{});
+        maps_.erase(id);
+    }
+    void publish(const published_objects& objects, duration spread) override
+    {
+        for (auto& [id, each] : vms_)
+        {
+            const auto wait = static_cast<duration::rep>(
+                random.unit() * static_cast<double>(spread.count()));
+            each.sets_due.insert_or_assign(now_ + duration(wait), objects);
+        }
+    }
+    void run_for(duration time) override
+    {
+        constexpr duration step_length = 10ms;
+        for (const instant end = now_ + time; now_ < end;)
+        {
+            now_ += step_length;
+            for (auto& [id, each] : vms_)
+            {
+                while (!each.sets_due.empty() &&
+                       each.sets_due.begin()->first <= now_)
+                {
+                    give_set(id, each.sets_due.begin()->second);
+                    each.sets_due.erase(each.sets_due.begin());
+                }
+            }
+        }
+    }
+    [[nodiscard]] bool settled() const override
+    {
+        return true;
+    }
+    [[nodiscard]] std::uint64_t control_bytes(vm_id /*id*/) const override
+    {
+        return 0;
+    }
+    [[nodiscard]] balancer_stats stats(vm_id /*id*/) override
+    {
+        return {};
+    }
+
+    packet_end spray(const packet_facts& facts) override
+    {
+        std::vector<vm_id> entries;
+        for (const auto& [id, each] : vms_)
+        {
+            if (each.running && !each.leaving)
+            {
+                entries.push_back(id);
+            }
+        }
+        return receive(facts, entries[random.below(entries.size())]);
+    }
+    [[nodiscard]] instant now() const override
+    {
+        return now_;
+    }
+
+protected:
+    struct vm
+    {
+        member about;
+        bool running = true;
+        bool leaving = false;
+        instant changed_at{};
+        published_set_ptr set;
+        placement_plan_ptr plan;
+        std::map<instant, published_objects> sets_due;
+        /// Used by the owner policy only.
+        std::unordered_map<flow_key, target_id> records;
+        std::size_t next = 0;
+    };
+
+    virtual packet_end receive(const packet_facts& facts, vm_id entry) = 0;
+
+    [[nodiscard]] vm& at(vm_id id)
+    {
+        return vms_.at(id);
+    }
+
+    /// Owners in the view of a VM, which learns of a change as in `fake_group`.
+    const bucket_map& map_of(vm_id id)
+    {
+        constexpr duration detection = 2200ms;
+        constexpr duration news_delay = 300ms;
+        const vm& by = vms_.at(id);
+        member_view view{.self = id};
+        for (const auto& [other_id, other] : vms_)
+        {
+            member seen = other.about;
+            const duration known = now_ - other.changed_at;
+            const bool joined_unseen = other.running && !other.leaving &&
+                                       known < news_delay &&
+                                       now_ > instant{2s} && other_id != id;
+            const bool dead =
+                !other.running && (other.leaving || known >= detection);
+            const bool left = other.leaving && known >= news_delay;
+            seen.state = dead || joined_unseen ? liveness::dead
+                         : left                ? liveness::left
+                                               : liveness::alive;
+            view.members.push_back(seen);
+        }
+        cached_map& cached = maps_[id];
+        if (cached.view != view)
+        {
+            cached = {view, bucket_map(*by.set, view)};
+        }
+        return cached.map;
+    }
+
+private:
+    struct cached_map
+    {
+        member_view view;
+        bucket_map map;
+    };
+
+    instant now_{1s};
+    std::map<vm_id, vm> vms_;
+    std::map<vm_id, cached_map> maps_;
+};
+
+packet_end deliver_if_in_service(const published_set& set, target_id id,
+                                 vm_id by)
+{
+    const target* found = set.find_target(id);
+    if (found == nullptr || !set.in_service(found->data_centre))
+    {
+        return dropped;
+    }
+    return delivered{id, by};
+}
+
+/// Each VM places every packet by the table of its own set; no state.
+class hashing_fleet final : public simple_fleet
+{
+public:
+    using simple_fleet::simple_fleet;
+
+private:
+    packet_end receive(const packet_facts& facts, vm_id entry) override
+    {
+        const vm& by = at(entry);
+        const reference* ref =
+            by.set ? by.set->find_reference(facts.key.service_side,
+                                            facts.key.transport)
+                   : nullptr;
+        if (ref == nullptr)
+        {
+            return dropped;
+        }
+        const std::uint64_t hash = hash_flow(facts.key);
+        const placement_table_ptr table = by.plan->table(
+            ref->service, home_of(bucket_of(hash), by.plan->group()));
+        const std::optional<target_id> chosen =
+            table ? choose(*table, hash) : std::nullopt;
+        if (!chosen)
+        {
+            return refused{refusal_reason::no_target};
+        }
+        return delivered{*chosen, entry};
+    }
+};
+
+/// The owner of the bucket places round robin and keeps records; nobody else
+/// has them. A packet without a record is placed like a new flow.
+class round_robin_fleet final : public simple_fleet
+{
+public:
+    using simple_fleet::simple_fleet;
+
+private:
+    packet_end receive(const packet_facts& facts, vm_id entry) override
+    {
+        constexpr int most_hops = 4;
+        const std::uint64_t hash = hash_flow(facts.key);
+        vm_id where = entry;
+        for (int hops = 0; hops <= most_hops; ++hops)
+        {
+            if (!at(where).running || !at(where).set)
+            {
+                return dropped;
+            }
+            const std::optional<vm_id> owner =
+                map_of(where).owner(bucket_of(hash));
+            if (!owner)
+            {
+                return dropped;
+            }
+            if (*owner == where)
+            {
+                return decide(facts, where);
+            }
+            where = *owner;
+        }
+        return lost{discard_reason::hop_limit};
+    }
+
+    packet_end decide(const packet_facts& facts, vm_id self)
+    {
+        vm& by = at(self);
+        const auto known = by.records.find(facts.key);
+        if (known != by.records.end() && facts.phase != flow_phase::opening)
+        {
+            const packet_end end =
+                deliver_if_in_service(*by.set, known->second, self);
+            if (facts.phase == flow_phase::finishing)
+            {
+                by.records.erase(known);
+            }
+            return end;
+        }
+        const reference* ref =
+            by.set->find_reference(facts.key.service_side, facts.key.transport);
+        if (ref == nullptr)
+        {
+            return dropped;
+        }
+        const std::span<const target> all = by.set->targets_of(ref->service);
+        for (std::size_t tried = 0; tried < all.size(); ++tried)
+        {
+            const target& next = all[by.next++ % all.size()];
+            if (next.wish == target_wish::serve &&
+                by.set->in_service(next.data_centre))
+            {
+                by.records.insert_or_assign(facts.key, next.id);
+                return delivered{next.id, self};
+            }
+        }
+        return refused{refusal_reason::no_target};
+    }
+};
+
+template <class Fleet>
+std::unique_ptr<fleet> make_fleet(const fleet_settings& settings)
+{
+    return std::make_unique<Fleet>(settings);
+}
+
+constexpr std::array<policy, 3> all_policies{
+    {{"catkinkeel", &make_fleet<keel_fleet>},
+     {"hashing", &make_fleet<hashing_fleet>},
+     {"round_robin", &make_fleet<round_robin_fleet>}}};
+
+} // namespace
+
+std::span<const policy> policies()
+{
+    return all_policies;
+}
+
+testing::packet_end watched_carrier::spray(const packet_facts& facts)
+{
+    const testing::packet_end end = inner_.spray(facts);
+    if (const auto* reached = std::get_if<testing::delivered>(&end);
+        reached != nullptr && on_delivered)
+    {
+        on_delivered(facts, *reached, inner_.now());
+    }
+    return end;
+}
+
+} // namespace catkinkeel::measure
