--- a/measure/policy.cpp
+++ b/measure/policy.cpp
@@ -3,7 +3,7 @@
 // does not judge: the exit code is 0 also where a row is short of its target.
 // How long a set takes until it is in effect everywhere is not measured here;
 // the fakes give it to each VM within 2 s.
-// Usage: policy [--seed N] [--trace] [--curve]
+// Usage: policy [--seed N] [--only TEXT] [--trace] [--curve]
 
 #include <tclap/CmdLine.h>
 
@@ -20,7 +20,7 @@
 namespace
 {
 
-constexpr std::array<scenario, 8> scenarios{
+constexpr std::array<scenario, 10> scenarios{
     {{"planned changes", &measure_planned_changes},
      {"sudden death", &measure_deaths},
      {"sudden death, 36 VMs", &measure_deaths_of_36},
@@ -28,16 +28,21 @@
      {"VMs of a data centre die", &measure_data_centre_loss},
      {"drain", &measure_drain},
      {"load balance", &measure_balance},
-     {"control traffic", &measure_control_traffic, true}}};
+     {"control traffic", &measure_control_traffic, true},
+     {"load of today", &measure_todays_load},
+     {"death at the rate of today", &measure_death_at_todays_rate}}};
 
-void print_rows(std::uint64_t seed, bool trace)
+void print_rows(std::uint64_t seed, const std::string& only, bool trace)
 {
     for (const policy& subject : policies())
     {
         std::uint64_t misdirected = 0;
         for (const scenario& each : scenarios)
         {
-            if (each.balancer_only && &subject != &policies().front())
+            const bool measured =
+                !each.balancer_only || &subject == &policies().front();
+            if (!measured ||
+                std::string(each.name).find(only) == std::string::npos)
             {
                 continue;
             }
@@ -53,6 +58,10 @@
               {"packets_to_another_service", static_cast<double>(misdirected),
                "packets", bound::at_most, 0});
     }
+    if (std::string("cold target").find(only) == std::string::npos)
+    {
+        return;
+    }
     std::printf("# cold target, by rule\n");
     for (const row& line : measure_cold_target(seed))
     {
@@ -104,13 +113,17 @@
     TCLAP::CmdLine arguments("Policy measurements in virtual time", ' ', "0.1");
     TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of all randomness",
                                         false, 1, "number", arguments);
+    TCLAP::ValueArg<std::string> only(
+        "", "only", "Run only scenarios whose name contains this", false, "",
+        "text", arguments);
     TCLAP::SwitchArg trace("", "trace", "Print each broken flow", arguments);
     TCLAP::SwitchArg curve("", "curve",
                            "Print exceptions against the load bound instead",
                            arguments);
     arguments.parse(argc, argv);
-    std::printf("# build/measure/policy --seed %llu%s%s\n",
+    std::printf("# build/measure/policy --seed %llu%s%s%s%s\n",
                 static_cast<unsigned long long>(seed.getValue()),
+                only.isSet() ? " --only " : "", only.getValue().c_str(),
                 trace.getValue() ? " --trace" : "",
                 curve.getValue() ? " --curve" : "");
     if (curve.getValue())
@@ -118,6 +131,6 @@
         print_exception_curve(seed.getValue());
         return 0;
     }
-    print_rows(seed.getValue(), trace.getValue());
+    print_rows(seed.getValue(), only.getValue(), trace.getValue());
     return 0;
 }
--- a/measure/policy_changes.cpp
+++ b/measure/policy_changes.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <string>
 
@@ -112,12 +113,15 @@
 {
     const char* name;
     std::optional<vm_id> (*apply)(site&);
+    duration shortest_wait;
+    duration longest_wait;
 };
 
-constexpr std::array<prelude, 3> preludes{
-    {{"death", nullptr},
-     {"death_after_drain", &drain_target},
-     {"death_after_move", &move_reference}}};
+constexpr std::array<prelude, 4> preludes{
+    {{"death", nullptr, 0s, 0s},
+     {"death_after_drain", &drain_target, 0s, 20s},
+     {"death_after_move", &move_reference, 0s, 20s},
+     {"death_60s_after_move", &move_reference, 60s, 60s}}};
 
 struct death_load
 {
@@ -145,7 +149,12 @@
             if (before.apply != nullptr)
             {
                 before.apply(s);
-                s.run_level(s.random.below(200) * 100ms, load.rate, 0.02);
+                const duration spread =
+                    before.longest_wait - before.shortest_wait;
+                s.run_level(before.shortest_wait +
+                                std::chrono::duration_cast<duration>(
+                                    s.random.unit() * spread),
+                            load.rate, 0.02);
             }
             const instant died = s.now();
             s.machines->kill(s.vms()[s.random.below(s.vms().size())]);
@@ -187,6 +196,7 @@
     scenario_result result;
     std::uint64_t sum = 0;
     std::uint64_t worst = 0;
+    std::uint64_t refused = 0;
     for (std::size_t a = 0; a < changes.size(); ++a)
     {
         for (std::size_t b = a; b < changes.size(); ++b)
@@ -199,6 +209,7 @@
             }
             sum += all.broken;
             worst = std::max(worst, all.broken);
+            refused += all.refused;
             result.misdirected += all.misdirected;
             const std::string name =
                 a == b ? std::string(changes[a].name)
@@ -206,12 +217,20 @@
             result.rows.push_back({"change." + name + ".broken",
                                    static_cast<double>(all.broken), "flows",
                                    bound::at_most, 0});
+            if (a == b)
+            {
+                result.rows.push_back({"change." + name + ".new_flows_refused",
+                                       static_cast<double>(all.refused),
+                                       "flows"});
+            }
         }
     }
     result.rows.push_back({"change.sum.broken", static_cast<double>(sum),
                            "flows", bound::at_most, 0});
     result.rows.push_back({"change.worst.broken", static_cast<double>(worst),
                            "flows", bound::at_most, 0});
+    result.rows.push_back({"change.sum.new_flows_refused",
+                           static_cast<double>(refused), "flows"});
     return result;
 }
 
--- a/measure/policy_cold.cpp
+++ b/measure/policy_cold.cpp
@@ -84,6 +84,7 @@
     std::uint64_t placed = 0;
     std::uint64_t beyond = 0;
     std::uint64_t worst = 0;
+    std::uint64_t worst_warm = 0;
 };
 
 /// VMs that place as many flows on the target as they may.
@@ -331,15 +332,22 @@
     }
 
     /// Counts each flow above the bound once. The bound is 2 flows at the first
-    /// one, doubled every 5 s, up to the capacity.
+    /// one, doubled every 5 s. From its reaching the capacity, flows above the
+    /// capacity are counted apart: the target is warm then.
     void count()
     {
         const std::uint64_t steps =
             began_ ? static_cast<std::uint64_t>((now_ - *began_) / 5s) : 0;
-        const std::uint64_t allowed = std::min<std::uint64_t>(
-            capacity, std::uint64_t{2} << std::min<std::uint64_t>(steps, 30));
-        const std::uint64_t over =
-            carried() > allowed ? carried() - allowed : 0;
+        const std::uint64_t allowed = std::uint64_t{2}
+                                      << std::min<std::uint64_t>(steps, 30);
+        const bool ramping = allowed < capacity;
+        const std::uint64_t most = ramping ? allowed : capacity;
+        const std::uint64_t over = carried() > most ? carried() - most : 0;
+        if (!ramping)
+        {
+            result_.worst_warm = std::max(result_.worst_warm, over);
+            return;
+        }
         result_.beyond += over > counted_ ? over - counted_ : 0;
         counted_ = std::max(counted_, over);
         result_.worst = std::max(result_.worst, over);
@@ -381,6 +389,7 @@
             all.placed += one.placed;
             all.beyond += one.beyond;
             all.worst = std::max(all.worst, one.worst);
+            all.worst_warm = std::max(all.worst_warm, one.worst_warm);
         }
         const std::string prefix = rule.name;
         rows.push_back({prefix + ".beyond_ramp",
@@ -388,6 +397,8 @@
                         bound::at_most, 0});
         rows.push_back({prefix + ".beyond_ramp_worst_moment",
                         static_cast<double>(all.worst), "flows"});
+        rows.push_back({prefix + ".beyond_capacity_when_warm",
+                        static_cast<double>(all.worst_warm), "flows"});
         rows.push_back(
             {prefix + ".placed", static_cast<double>(all.placed), "flows"});
         rows.push_back({prefix + ".cold_starts",
--- a/measure/policy_control.cpp
+++ b/measure/policy_control.cpp
@@ -73,6 +73,20 @@
 constexpr std::uint32_t todays_open = 20000;
 constexpr double packet_part = 0.02;
 
+/// Ended flows count against a target's connections for 10 s, so that this rate
+/// does not fit 14 x 2,000; the traffic is measured without that limit.
+constexpr site_size unlimited{"exlibris", 3, 2, 14, 4, 20000};
+
+double refused_share(const site& s, std::uint64_t refused_before,
+                     std::uint64_t opened_before)
+{
+    const auto refused =
+        static_cast<double>(s.callers.counts().refused - refused_before);
+    const auto opened =
+        static_cast<double>(s.callers.counts().opened - opened_before);
+    return 100.0 * refused / std::max(1.0, refused + opened);
+}
+
 void run_metered(site& s, byte_meter& meter, int seconds)
 {
     meter.sample(s);
@@ -138,7 +152,7 @@
 {
     constexpr int steady_seconds = 120;
     constexpr int seconds_between_changes = 20;
-    site s(exlibris, context.subject, {.seed = context.seed});
+    site s(unlimited, context.subject, {.seed = context.seed});
     s.fill(todays_open, 20s);
     s.run_level(20s, todays_rate, packet_part);
     byte_meter steady;
@@ -160,6 +174,37 @@
     return result;
 }
 
+scenario_result measure_todays_load(const run_context& context)
+{
+    site s(exlibris, context.subject, {.seed = context.seed});
+    s.fill(todays_open, 20s);
+    const testing::caller_counts before = s.callers.counts();
+    s.run_level(20s, todays_rate, packet_part);
+    return {{{"todays_load.refused",
+              refused_share(s, before.refused, before.opened), "%",
+              bound::at_most, 0.1}},
+            s.callers.counts().misdirected};
+}
+
+scenario_result measure_death_at_todays_rate(const run_context& context)
+{
+    site s(unlimited, context.subject, {.seed = context.seed});
+    s.fill(todays_open, 20s);
+    s.run_level(30s, todays_rate, packet_part);
+    const instant died = s.now();
+    s.machines->kill(s.vms()[s.random.below(s.vms().size())]);
+    s.run_level(4s, todays_rate, packet_part);
+    const damage found = s.assess(died);
+    return {{{"todays_rate.death.broken_of_open",
+              100.0 * static_cast<double>(found.broken) /
+                  static_cast<double>(found.flows),
+              "%", bound::at_most, 0.1},
+             {"todays_rate.death.broken_settled",
+              static_cast<double>(found.broken_settled), "flows",
+              bound::at_most, 0}},
+            found.misdirected};
+}
+
 void print_exception_curve(std::uint64_t seed)
 {
     constexpr std::array<double, 11> epsilons{0.02, 0.03, 0.05, 0.07, 0.1, 0.13,
@@ -169,7 +214,7 @@
                 "  busiest target to mean  worst backlog (flows)\n");
     for (const double epsilon : epsilons)
     {
-        site s(exlibris, policies().front(),
+        site s(unlimited, policies().front(),
                {.seed = seed, .load_epsilon = epsilon});
         s.fill(todays_open, 20s);
         s.run_level(20s, todays_rate, packet_part);
--- a/measure/policy_fleet.cpp
+++ b/measure/policy_fleet.cpp
@@ -379,10 +379,9 @@
 testing::packet_end watched_carrier::spray(const packet_facts& facts)
 {
     const testing::packet_end end = inner_.spray(facts);
-    if (const auto* reached = std::get_if<testing::delivered>(&end);
-        reached != nullptr && on_delivered)
+    if (on_end)
     {
-        on_delivered(facts, *reached, inner_.now());
+        on_end(facts, end, inner_.now());
     }
     return end;
 }
--- a/measure/policy_fleet.hpp
+++ b/measure/policy_fleet.hpp
@@ -57,13 +57,12 @@
 /// Ours first.
 std::span<const policy> policies();
 
-/// Records where opening packets and later packets end, and passes everything
-/// on to a fleet's carrier.
+/// Shows an observer where each packet ends; a fleet's carrier carries it.
 class watched_carrier final : public testing::packet_carrier
 {
 public:
     using observer = std::function<void(const packet_facts&,
-                                        const testing::delivered&, instant)>;
+                                        const testing::packet_end&, instant)>;
 
     watched_carrier(testing::packet_carrier& inner, std::uint64_t seed)
         : packet_carrier(seed), inner_(inner)
@@ -77,8 +76,8 @@
         return inner_.now();
     }
 
-    /// Called for each delivered packet.
-    observer on_delivered;
+    /// Called for each packet.
+    observer on_end;
 
 private:
     testing::packet_carrier& inner_;
--- a/measure/policy_rows.hpp
+++ b/measure/policy_rows.hpp
@@ -66,6 +66,9 @@
 scenario_result measure_drain(const run_context& context);
 scenario_result measure_balance(const run_context& context);
 scenario_result measure_control_traffic(const run_context& context);
+/// Share of new flows refused at the rate and connections of today.
+scenario_result measure_todays_load(const run_context& context);
+scenario_result measure_death_at_todays_rate(const run_context& context);
 
 /// Flows that several target registries place on a cold target, under the
 /// steward rule and two others; does not depend on the policy.
--- a/measure/policy_service.cpp
+++ b/measure/policy_service.cpp
@@ -3,7 +3,10 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cstdio>
+#include <map>
 #include <string>
+#include <utility>
 
 #include "measure/policy_rows.hpp"
 
@@ -46,11 +49,52 @@
                static_cast<double>(attempted);
     }
 
+    /// Among the flows still open; a flow into the data centre may end.
+    [[nodiscard]] std::uint64_t broken() const
+    {
+        return static_cast<std::uint64_t>(std::ranges::count_if(
+            callers.flows(), &testing::open_flow::broken));
+    }
+
+    void trace(instant event) const
+    {
+        for (const testing::open_flow& flow : callers.flows())
+        {
+            if (flow.broken)
+            {
+                std::printf(
+                    "# new flow broken: caller %08x opened %.1f s after, "
+                    "target %u\n",
+                    flow.facts.key.caller.address.value,
+                    std::chrono::duration<double>(flow.opened_at - event)
+                        .count(),
+                    flow.target ? flow.target->value : 0);
+            }
+        }
+    }
+
     site& where;
     testing::caller_model callers;
     std::uint64_t attempted = 0;
 };
 
+std::string name_of(const testing::packet_end& end)
+{
+    if (std::holds_alternative<testing::refused>(end))
+    {
+        return "refused";
+    }
+    const auto* dropped = std::get_if<testing::lost>(&end);
+    if (dropped == nullptr)
+    {
+        return "delivered";
+    }
+    return dropped->reason
+               ? "discard reason " +
+                     std::to_string(static_cast<int>(*dropped->reason))
+               : "lost on the way";
+}
+
 /// The data centre is published out of service and back 12 s later.
 scenario_result measure_out_at(const run_context& context,
                                const site_size& size)
@@ -68,18 +112,27 @@
         const instant published = s.now();
         instant last = published;
         const published_objects with_targets = s.objects;
-        s.watched.on_delivered =
-            [&](const packet_facts&, const testing::delivered& end, instant at)
+        std::map<std::pair<std::int64_t, std::string>, int> lost_openings;
+        bool is_out = true;
+        s.watched.on_end = [&](const packet_facts& facts,
+                               const testing::packet_end& end, instant at)
         {
-            if (data_centre_of(with_targets, end.target) == leaving_data_centre)
+            const auto* reached = std::get_if<testing::delivered>(&end);
+            if (is_out && reached != nullptr &&
+                data_centre_of(with_targets, reached->target) ==
+                    leaving_data_centre)
             {
                 last = std::max(last, at);
             }
+            if (reached == nullptr && facts.phase == flow_phase::opening)
+            {
+                ++lost_openings[{(at - published) / 500ms, name_of(end)}];
+            }
         };
         s.objects.data_centres[0].wish = data_centre_wish::out_of_service;
         s.publish();
         fresh.run(12s);
-        s.watched.on_delivered = nullptr;
+        is_out = false;
         const auto ended = [&](target_id id)
         {
             return data_centre_of(with_targets, id) == leaving_data_centre;
@@ -95,10 +148,20 @@
         served = std::min(served, fresh.served());
         all += s.assess();
         all.misdirected += fresh.callers.counts().misdirected;
-        all.broken += fresh.callers.counts().broken;
+        all.broken += fresh.broken();
         if (context.trace)
         {
             s.trace("data centre out", published);
+            for (const auto& [when, count] : lost_openings)
+            {
+                std::printf("# %s %s out, seed %llu: %.1f s after publication "
+                            "%d openings ended: %s\n",
+                            context.subject.name, size.name,
+                            static_cast<unsigned long long>(context.seed + n),
+                            0.5 * static_cast<double>(when.first), count,
+                            when.second.c_str());
+            }
+            fresh.trace(published);
         }
     }
     const std::string prefix = std::string(size.name) + ".data_centre_out";
@@ -188,10 +251,12 @@
         s.fill(4000, 4s);
         const instant published = s.now();
         const target_id leaving = s.objects.targets[3].id;
-        s.watched.on_delivered = [&](const packet_facts& facts,
-                                     const testing::delivered& end, instant at)
+        s.watched.on_end = [&](const packet_facts& facts,
+                               const testing::packet_end& end, instant at)
         {
-            if (facts.phase == flow_phase::opening && end.target == leaving)
+            const auto* reached = std::get_if<testing::delivered>(&end);
+            if (reached != nullptr && facts.phase == flow_phase::opening &&
+                reached->target == leaving)
             {
                 late += at - published > allowed ? 1U : 0U;
                 last_opening = std::max(
--- a/measure/policy_site.cpp
+++ b/measure/policy_site.cpp
@@ -32,6 +32,7 @@
     broken_settled += other.broken_settled;
     stalled += other.stalled;
     misdirected += other.misdirected;
+    refused += other.refused;
     return *this;
 }
 
@@ -85,12 +86,13 @@
       callers(watched, public_endpoint, service_of),
       random(settings.seed + 2)
 {
-    watched.on_delivered = [this](const packet_facts& facts,
-                                  const testing::delivered& end, instant)
+    watched.on_end = [this](const packet_facts& facts,
+                            const testing::packet_end& end, instant)
     {
-        if (facts.phase == flow_phase::opening)
+        const auto* reached = std::get_if<testing::delivered>(&end);
+        if (reached != nullptr && facts.phase == flow_phase::opening)
         {
-            opened_by_.insert_or_assign(facts.key, end.by);
+            opened_by_.insert_or_assign(facts.key, reached->by);
         }
     };
     // Without a number for each data centre, six VMs are dealt out in turn.
@@ -181,6 +183,7 @@
     constexpr int attempts = 3;
     damage found;
     found.misdirected = callers.counts().misdirected;
+    found.refused = callers.counts().refused;
     std::vector<broken_flow> lost_now;
     for (const testing::open_flow& flow : callers.flows())
     {
--- a/measure/policy_site.hpp
+++ b/measure/policy_site.hpp
@@ -46,6 +46,8 @@
     /// Of the broken ones, those whose packets are dropped for good.
     std::uint64_t stalled = 0;
     std::uint64_t misdirected = 0;
+    /// New flows that got a refusal, since the site began.
+    std::uint64_t refused = 0;
 
     damage& operator+=(const damage& other);
 
