--- a/measure/capacity.cpp
+++ b/measure/capacity.cpp
@@ -140,16 +140,20 @@
     {
         target_registry registry(std::make_shared<steward_rule>(), 1);
         registry.apply_set(set, start);
-        registry.apply_stewardship(make_stewardship(vms, start), start);
         steward_view changed = make_stewardship(vms, start);
-        changed.possibly_alive.back().alive = false;
+        registry.apply_stewardship(changed, start);
         print_row("stewards.member_change", vms,
-                  milliseconds_of(
-                      [&] { registry.apply_stewardship(changed, start); }),
+                  least_milliseconds_of(
+                      6,
+                      [&]
+                      {
+                          changed.possibly_alive.back().alive ^= true;
+                          registry.apply_stewardship(changed, start);
+                      }),
                   "ms");
         print_row("stewards.no_change", vms,
-                  milliseconds_of(
-                      [&] { registry.apply_stewardship(changed, start); }),
+                  least_milliseconds_of(
+                      3, [&] { registry.apply_stewardship(changed, start); }),
                   "ms");
         print_row("registry.tick_with_walk", vms,
                   least_milliseconds_of(1, [&] { registry.tick(start + 2s); }),
@@ -270,7 +274,8 @@
     subcommand{"messages", &measure_messages},
     subcommand{"news", &measure_news},
     subcommand{"lists", &measure_lists},
-    subcommand{"documents", &measure_documents}};
+    subcommand{"documents", &measure_documents},
+    subcommand{"start", &measure_start}};
 
 } // namespace
 
--- a/measure/capacity_flows.cpp
+++ b/measure/capacity_flows.cpp
@@ -12,6 +12,9 @@
 #include <cmath>
 #include <deque>
 #include <memory>
+#include <set>
+#include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -42,6 +45,16 @@
                                header_cost.value);
 }
 
+published_set_ptr make_set(std::uint32_t targets, std::uint32_t connections)
+{
+    published_objects objects = make_objects(targets, 1);
+    for (target& each : objects.targets)
+    {
+        each.connections = connections;
+    }
+    return std::make_shared<const published_set>(std::move(objects));
+}
+
 struct open_flow
 {
     packet_facts facts;
@@ -53,9 +66,11 @@
 class lone_holder
 {
 public:
-    lone_holder(std::uint32_t targets, std::uint32_t vms)
+    /// Each target bears `connections` flows of all VMs together.
+    lone_holder(std::uint32_t targets, std::uint32_t vms,
+                std::uint32_t connections)
         : targets_(targets),
-          set_(std::make_shared<const published_set>(make_objects(targets, 1))),
+          set_(make_set(targets, connections)),
           core_({}, {1}, {1}, 1, bearings_)
     {
         core_.apply_set(set_, core_.make_plan(*set_), now_);
@@ -79,6 +94,9 @@
         message_bytes_ = 0;
         messages_ = 0;
         exceptions_sent_ = 0;
+        handovers_ = 0;
+        handover_bytes_ = 0;
+        refused_ = 0;
         decide_ms_ = 0;
         control_ms_ = 0;
     }
@@ -94,6 +112,18 @@
     {
         return exceptions_sent_;
     }
+    [[nodiscard]] double handovers() const
+    {
+        return handovers_;
+    }
+    [[nodiscard]] double handover_bytes() const
+    {
+        return handover_bytes_;
+    }
+    [[nodiscard]] double refused() const
+    {
+        return refused_;
+    }
     [[nodiscard]] double decide_ms() const
     {
         return decide_ms_;
@@ -202,8 +232,10 @@
 private:
     void decide(const packet_facts& facts)
     {
-        decide_ms_ += milliseconds_of(
-            [&] { static_cast<void>(core_.decide(facts, now_)); });
+        verdict decided;
+        decide_ms_ +=
+            milliseconds_of([&] { decided = core_.decide(facts, now_); });
+        refused_ += std::holds_alternative<refuse>(decided) ? 1 : 0;
     }
 
     void answer(const flow_outgoing& sent)
@@ -220,6 +252,12 @@
                 static_cast<double>(update->state.exceptions.size());
             reply = replicate_ack{update->session, update->sequence};
         }
+        else if (const auto* offer = std::get_if<handover>(&sent.content))
+        {
+            ++handovers_;
+            handover_bytes_ += wire_bytes(sent.content);
+            reply = handover_ack{offer->session, offer->round, offer->sequence};
+        }
         else
         {
             return;
@@ -241,6 +279,9 @@
     double message_bytes_ = 0;
     double messages_ = 0;
     double exceptions_sent_ = 0;
+    double handovers_ = 0;
+    double handover_bytes_ = 0;
+    double refused_ = 0;
     double decide_ms_ = 0;
     double control_ms_ = 0;
 };
@@ -261,7 +302,7 @@
     for (const std::size_t flows : {6600U, 13300U, 26522U, 53000U})
     {
         const double before = heap_bytes();
-        lone_holder holder(24000, fleet);
+        lone_holder holder(24000, fleet, 4000);
         print_row("balancer.memory_empty", flows,
                   (heap_bytes() - before) / 1024 / 1024, "MB");
         for (std::size_t i = 0; i < flows; ++i)
@@ -273,136 +314,126 @@
     }
 }
 
-/// The VM at a multiple of the design load for 20 minutes; the figures are of
-/// the last 10.
+namespace
+{
+
+void print_steady_state(lone_holder& holder, double rate, std::uint64_t size,
+                        const char* prefix)
+{
+    holder.run(600s, rate);
+    holder.reset();
+    const balancer_stats before = holder.core().stats();
+    holder.run(600s, rate);
+    const balancer_stats after = holder.core().stats();
+    const auto opened =
+        static_cast<double>(after.flows_opened - before.flows_opened);
+    const auto print = [&](const char* name, double value, const char* unit)
+    {
+        print_row((std::string(prefix) + name).c_str(), size, value, unit);
+    };
+    print("buckets_held", static_cast<double>(after.buckets_held), "1");
+    print("flows", static_cast<double>(after.flows), "1");
+    print("opened", opened / 600, "1/s");
+    print("refused", holder.refused() / 600, "1/s");
+    print("share",
+          100 *
+              static_cast<double>(after.exceptions_opened -
+                                  before.exceptions_opened) /
+              std::max(1.0, opened),
+          "%");
+    print("backlog", static_cast<double>(after.replication_backlog), "flows");
+    print("told", holder.exceptions_sent() / 600, "1/s");
+    print("messages", holder.messages() / 600, "1/s");
+    print("bytes", holder.message_bytes() / 600, "B/s");
+    print("ack_bytes",
+          holder.messages() / 600 * wire_bytes(replicate_ack{1, 1000}), "B/s");
+    print("decide_cpu", holder.decide_ms() / 6000, "% of a core");
+    print("control_cpu", holder.control_ms() / 6000, "% of a core");
+}
+
+} // namespace
+
+/// The VM at a part or a multiple of its share of the design load, by the
+/// buckets that it holds, for 20 minutes; the figures are of the last 10.
 void measure_exceptions()
 {
-    constexpr double design_rate = 160000.0 / fleet;
-    for (const double load : {0.25, 0.5, 1.0, 2.0})
+    constexpr double region_rate = 160000.0 / 4;
+    for (const std::uint32_t connections : {2000U, 4000U, 8000U})
     {
-        lone_holder holder(24000, fleet);
-        const double rate = design_rate * load;
-        const auto size = static_cast<std::uint64_t>(rate * flow_lifetime);
-        for (std::uint64_t i = 0; i < size; ++i)
+        for (const double load : {0.25, 0.5, 1.0, 2.0})
         {
-            holder.open();
-            if (i % 100 == 0)
+            lone_holder holder(24000, fleet, connections);
+            const double rate =
+                region_rate * load / bucket_count *
+                static_cast<double>(holder.core().stats().buckets_held);
+            const auto size = static_cast<std::uint64_t>(rate * flow_lifetime);
+            for (std::uint64_t i = 0; i < size; ++i)
             {
-                holder.exchange(1e9);
+                holder.open();
+                if (i % 100 == 0)
+                {
+                    holder.exchange(1e9);
+                }
             }
+            print_steady_state(
+                holder, rate, size,
+                ("exceptions_" + std::to_string(connections) + ".").c_str());
         }
-        holder.run(600s, rate);
-        holder.reset();
-        const balancer_stats before = holder.core().stats();
-        holder.run(600s, rate);
-        const balancer_stats after = holder.core().stats();
-        const auto opened =
-            static_cast<double>(after.flows_opened - before.flows_opened);
-        print_row("exceptions.buckets_held", size,
-                  static_cast<double>(after.buckets_held), "1");
-        print_row("exceptions.flows", size, static_cast<double>(after.flows),
-                  "1");
-        print_row("exceptions.opened", size, opened / 600, "1/s");
-        print_row("exceptions.share", size,
-                  100 *
-                      static_cast<double>(after.exceptions_opened -
-                                          before.exceptions_opened) /
-                      opened,
-                  "%");
-        print_row("exceptions.backlog", size,
-                  static_cast<double>(after.replication_backlog), "flows");
-        print_row("exceptions.told", size, holder.exceptions_sent() / 600,
-                  "1/s");
-        print_row("exceptions.messages", size, holder.messages() / 600, "1/s");
-        print_row("exceptions.bytes", size, holder.message_bytes() / 600,
-                  "B/s");
-        print_row("exceptions.ack_bytes", size,
-                  holder.messages() / 600 * wire_bytes(replicate_ack{1, 1000}),
-                  "B/s");
-        print_row("exceptions.decide_cpu", size, holder.decide_ms() / 6000,
-                  "% of a core");
-        print_row("exceptions.control_cpu", size, holder.control_ms() / 6000,
-                  "% of a core");
     }
 }
 
-/// VM 1 leaves; its buckets go to the other VMs of the group, which claim them.
+/// VM 1 leaves; the new owners of its buckets claim them.
 void measure_handover()
 {
-    constexpr std::uint32_t group_region = 4;
     for (const std::uint64_t flows : {6600U, 13300U, 26522U, 53000U})
     {
-        lone_holder holder(24000, fleet);
+        lone_holder holder(24000, fleet, 8000);
         for (std::uint64_t i = 0; i < flows; ++i)
         {
             holder.open();
+            if (i % 100 == 0)
+            {
+                holder.exchange(1e9);
+            }
         }
+        holder.run(60s, 0);
         member_view without = make_view(fleet);
         without.revision = 2;
         without.members.front().state = liveness::left;
         balancer& core = holder.core();
-        const double leave_ms =
-            milliseconds_of([&] { core.apply_view(without, holder.now()); });
-        double handle_ms = 0;
-        double bytes = 0;
-        double answers = 0;
-        double claims = 0;
-        instant now = holder.now();
-        double budget = flow_burst;
-        bool asked = false;
-        while (core.stats().buckets_held > 0 && now < holder.now() + 600s)
+        const instant left_at = holder.now();
+        print_row("handover.view_change", flows,
+                  milliseconds_of([&] { core.apply_view(without, left_at); }),
+                  "ms");
+        std::set<vm_id> claimants;
+        for (std::uint32_t i = 0; i < bucket_count; ++i)
         {
-            now += message_period;
-            budget =
-                std::min(flow_burst, budget + flow_bytes_per_second * 0.02);
-            for (std::uint32_t vm = 2; vm <= fleet && !asked; ++vm)
-            {
-                if ((data_centre_of(vm).value - 1) / group_region == 0)
-                {
-                    ++claims;
-                    handle_ms += milliseconds_of(
-                        [&] {
-                            core.handle(
-                                {vm},
-                                claim{1, 1, {1}, core.map().fingerprint()},
-                                now);
-                        });
-                }
-            }
-            asked = true;
-            std::vector<flow_outgoing> sent;
-            handle_ms += milliseconds_of(
-                [&]
-                {
-                    sent = core.take_messages(
-                        {static_cast<std::uint64_t>(std::max(0.0, budget))},
-                        now);
-                });
-            for (const flow_outgoing& each : sent)
+            const bucket_id bucket{static_cast<std::uint16_t>(i)};
+            if (core.holds(bucket))
             {
-                const double size = wire_bytes(each.content);
-                bytes += size;
-                budget -= size;
-                if (const auto* offer = std::get_if<handover>(&each.content))
-                {
-                    ++answers;
-                    const handover_ack ack{offer->session, offer->round,
-                                           offer->sequence};
-                    handle_ms += milliseconds_of(
-                        [&] { core.handle(each.to, ack, now); });
-                }
+                claimants.insert(*core.map().owner(bucket));
             }
         }
-        const auto size = static_cast<std::uint64_t>(flows);
-        print_row("handover.view_change", size, leave_ms, "ms");
-        print_row("handover.claims", size, claims, "1");
-        print_row("handover.answers", size, answers, "1");
-        print_row("handover.bytes", size, bytes, "B");
-        print_row("handover.virtual_time", size,
-                  std::chrono::duration<double>(now - holder.now()).count(),
-                  "s");
-        print_row("handover.cpu", size, handle_ms, "ms");
-        print_row("handover.buckets_left", size,
+        holder.reset();
+        for (const vm_id each : claimants)
+        {
+            core.handle(each, claim{1, 1, {1}, core.map().fingerprint()},
+                        left_at);
+        }
+        while (core.stats().buckets_held > 0 && holder.now() - left_at < 600s)
+        {
+            holder.run(message_period, 0);
+        }
+        const double seconds =
+            std::chrono::duration<double>(holder.now() - left_at).count();
+        print_row("handover.claimants", flows,
+                  static_cast<double>(claimants.size()), "1");
+        print_row("handover.messages", flows, holder.handovers(), "1");
+        print_row("handover.bytes", flows, holder.handover_bytes(), "B");
+        print_row("handover.all_bytes", flows, holder.message_bytes(), "B");
+        print_row("handover.time", flows, seconds, "s");
+        print_row("handover.cpu", flows, holder.control_ms(), "ms");
+        print_row("handover.buckets_left", flows,
                   static_cast<double>(core.stats().buckets_held), "1");
     }
 }
--- a/measure/design_size.hpp
+++ b/measure/design_size.hpp
@@ -153,6 +153,8 @@
 void measure_news();
 void measure_lists();
 void measure_documents();
+/// capacity_start.cpp
+void measure_start();
 /// capacity_flows.cpp
 void measure_flow_memory();
 void measure_exceptions();
