--- a/measure/capacity.cpp
+++ b/measure/capacity.cpp
@@ -275,7 +275,8 @@
     subcommand{"news", &measure_news},
     subcommand{"lists", &measure_lists},
     subcommand{"documents", &measure_documents},
-    subcommand{"start", &measure_start}};
+    subcommand{"start", &measure_start},
+    subcommand{"change", &measure_change}};
 
 } // namespace
 
--- a/measure/capacity_start.cpp
+++ b/measure/capacity_start.cpp
@@ -1,11 +1,14 @@
-// How long a daemon that has just started takes to get a whole set, in virtual
-// time: 32 peers with the byte budget of a daemon, and the service behind them.
+// How long a daemon takes to get a whole set at its start, or a change of one
+// object, in virtual time: 32 peers with the byte budget of a daemon, and the
+// service behind them.
 
 #include "catkinkeel/contract/set_store.hpp"
 #include "catkinkeel/contract/write_documents.hpp"
 #include "catkinkeel/link/byte_budget.hpp"
 #include "catkinkeel/link/envelope.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <string>
 #include <utility>
@@ -28,21 +31,83 @@
 constexpr duration delay = 5ms;
 constexpr std::uint64_t burst_seconds = 24;
 
-class starting_daemon
+using chunk_texts = std::map<std::string, std::string>;
+
+chunk_texts texts_of(const set_documents& documents)
+{
+    chunk_texts texts;
+    for (const auto& chunk : documents.chunks)
+    {
+        texts.emplace(chunk.entry.hash, chunk.text);
+    }
+    return texts;
+}
+
+/// Gives all documents to a store as the service would.
+void fill(set_store& store, const set_documents& documents)
+{
+    const chunk_texts texts = texts_of(documents);
+    store_outputs next = store.index_read(documents.index, start);
+    while (!next.empty())
+    {
+        store_outputs more;
+        for (const store_output& each : next)
+        {
+            if (const auto* read = std::get_if<read_chunk>(&each))
+            {
+                std::ranges::move(store.chunk_read(read->name, read->hash,
+                                                   texts.at(read->hash), start),
+                                  std::back_inserter(more));
+            }
+        }
+        if (more.empty() && !store.in_effect())
+        {
+            // Without peers it waits before it trusts the service.
+            more = store.tick(start + 2s);
+        }
+        next = std::move(more);
+    }
+}
+
+/// The documents of version 2, in which one target drains.
+set_documents changed_documents(std::uint32_t targets)
+{
+    published_objects objects = make_objects(targets, 2);
+    objects.targets.back().wish = target_wish::drain;
+    return split_set(objects);
+}
+
+/// What a daemon knows when it begins to read version 2.
+enum class beginning
+{
+    /// Nothing; it hears of the version from peers.
+    hears_of_version,
+    /// Nothing; it reads the index from the service at once.
+    reads_index,
+    /// Version 1 is in effect.
+    has_former_version
+};
+
+class reading_daemon
 {
 public:
     /// Each peer may still send `rate` bytes a second and, if `rested`, has
     /// saved up the burst that the daemon allows.
-    starting_daemon(std::uint32_t targets, std::uint64_t rate, bool rested)
-        : documents_(split_set(make_objects(targets, 1))),
+    reading_daemon(std::uint32_t targets, beginning from, std::uint64_t rate,
+                   bool rested)
+        : documents_(changed_documents(targets)),
+          texts_(texts_of(documents_)),
+          from_(from),
           holder_(start, random_source(1)),
           store_(start, random_source(2))
     {
-        for (const auto& chunk : documents_.chunks)
+        fill(holder_, documents_);
+        if (from == beginning::has_former_version)
         {
-            texts_[chunk.entry.hash] = &chunk.text;
+            fill(store_, split_set(make_objects(targets, 1)));
+            now_ = start + 10s;
         }
-        fill_holder();
+        begun_ = now_;
         for (std::uint32_t i = 1; i <= set_store::max_peers; ++i)
         {
             const byte_count burst{rested ? rate * burst_seconds : rate};
@@ -53,11 +118,16 @@
     /// Runs until the set is in effect, at most an hour.
     void run()
     {
+        if (from_ == beginning::reads_index)
+        {
+            take(store_.index_read(documents_.index, now_));
+        }
         for (const auto& [peer, budget] : budgets_)
         {
-            take(store_.peers_reported({1}, peer, now_));
+            take(store_.peers_reported({2}, peer, now_));
         }
-        while (!store_.in_effect() && now_ - start < 1h)
+        while (store_.status().in_effect != set_version{2} &&
+               now_ - begun_ < 1h)
         {
             now_ += 5ms;
             while (!due_.empty() && due_.begin()->first <= now_)
@@ -65,7 +135,7 @@
                 const auto next = due_.extract(due_.begin());
                 deliver(next.mapped());
             }
-            if ((now_ - start) % 100ms == duration{})
+            if ((now_ - begun_) % 100ms == duration{})
             {
                 take(store_.tick(now_));
             }
@@ -74,7 +144,7 @@
 
     [[nodiscard]] double seconds() const
     {
-        return std::chrono::duration<double>(now_ - start).count();
+        return std::chrono::duration<double>(now_ - begun_).count();
     }
     [[nodiscard]] double peer_bytes() const
     {
@@ -88,33 +158,6 @@
 private:
     using arrival = std::variant<answer_peer, read_chunk>;
 
-    void fill_holder()
-    {
-        store_outputs next = holder_.index_read(documents_.index, start);
-        while (!next.empty())
-        {
-            store_outputs more;
-            for (const store_output& each : next)
-            {
-                if (const auto* read = std::get_if<read_chunk>(&each))
-                {
-                    for (store_output& output :
-                         holder_.chunk_read(read->name, read->hash,
-                                            *texts_.at(read->hash), start))
-                    {
-                        more.push_back(std::move(output));
-                    }
-                }
-            }
-            if (more.empty() && !holder_.in_effect())
-            {
-                // Without peers it waits before it trusts the service.
-                more = holder_.tick(start + 2s);
-            }
-            next = std::move(more);
-        }
-    }
-
     void take(const store_outputs& outputs)
     {
         for (const store_output& each : outputs)
@@ -158,26 +201,29 @@
             return;
         }
         const auto& read = std::get<read_chunk>(content);
-        take(store_.chunk_read(read.name, read.hash, *texts_.at(read.hash),
+        take(store_.chunk_read(read.name, read.hash, texts_.at(read.hash),
                                now_));
     }
 
     set_documents documents_;
-    std::map<std::string, const std::string*> texts_;
+    chunk_texts texts_;
+    beginning from_;
     set_store holder_;
     set_store store_;
     std::map<vm_id, byte_budget> budgets_;
     std::multimap<instant, arrival> due_;
     instant now_ = start;
+    instant begun_ = start;
     double peer_bytes_ = 0;
     double service_reads_ = 0;
 };
 
-void print_start(const char* prefix, std::uint64_t rate, bool rested)
+void print_reading(const char* prefix, beginning from, std::uint64_t rate,
+                   bool rested)
 {
     for (const std::uint32_t targets : {18U, 6000U, 12000U, 24000U})
     {
-        starting_daemon daemon(targets, rate, rested);
+        reading_daemon daemon(targets, from, rate, rested);
         daemon.run();
         const std::string name(prefix);
         print_row((name + ".time").c_str(), targets, daemon.seconds(), "s");
@@ -188,13 +234,24 @@
     }
 }
 
+void print_all(const std::string& prefix, beginning from)
+{
+    print_reading((prefix + "_rested_peers").c_str(), from, 2048, true);
+    print_reading((prefix + "_busy_peers").c_str(), from, 512, false);
+    print_reading((prefix + "_silent_peers").c_str(), from, 1, false);
+}
+
 } // namespace
 
 void measure_start()
 {
-    print_start("start_rested_peers", 2048, true);
-    print_start("start_busy_peers", 512, false);
-    print_start("start_silent_peers", 1, false);
+    print_all("start", beginning::hears_of_version);
+    print_all("start_index", beginning::reads_index);
+}
+
+void measure_change()
+{
+    print_all("change", beginning::has_former_version);
 }
 
 } // namespace capacity
--- a/measure/design_size.hpp
+++ b/measure/design_size.hpp
@@ -155,6 +155,7 @@
 void measure_documents();
 /// capacity_start.cpp
 void measure_start();
+void measure_change();
 /// capacity_flows.cpp
 void measure_flow_memory();
 void measure_exceptions();
