--- a/measure/one_daemon.sh
+++ b/measure/one_daemon.sh
@@ -91,8 +91,6 @@
         awk -v h="$(getconf CLK_TCK)" '{ printf "  thread %s %.2f s\n", $2, \
             ($14 + $15) / h }' "$thread/stat"
     done | sort -k3 -nr | head -n 4
-    curl -s -m 2 http://127.0.0.1:19080/status | head -c 120 || true
-    echo
     stop_all
 }
 
