Export every reason for which packets and messages are dropped

The table of metrics had its own lists of drop names. Messages dropped as oversized or unknown_type had no series, packets that could not be read were folded into four names, and packets dropped by the kernel (receive_overflow, dropped_no_room, dropped_unsendable) were not counted in metrics at all; two names (too_long, ring_full of packets) were never set. The lists now come from reject_reason_rows, socket_drop_rows and drop_reason, which the daemon uses too. The packet ring refuses nothing, since its batches are all allocated, so that catkinkeel_ring_refused_total keeps the label control only.

A test fails if a reason has no series.

--- a/catkinkeel/daemon/decider_snapshot.cpp
+++ b/catkinkeel/daemon/decider_snapshot.cpp
@@ -13,23 +13,6 @@
 namespace
 {
 
-/// Names of `metric_definitions` for datagrams that cannot be read.
-std::string drop_name(reject_reason reason)
-{
-    switch (reason)
-    {
-    case reject_reason::truncated:
-        return "truncated";
-    case reject_reason::fragment:
-        return "fragment";
-    case reject_reason::unsupported_protocol:
-    case reject_reason::unsupported_icmp:
-        return "unsupported_protocol";
-    default:
-        return "malformed";
-    }
-}
-
 event_number event_of(bearing_reason reason)
 {
     switch (reason)
@@ -105,7 +88,15 @@
     {
         if (const std::uint64_t count = rejected_.of(row.reason))
         {
-            shown.dropped.push_back({drop_name(row.reason), count});
+            shown.dropped.push_back({std::string(row.name), count});
+        }
+    }
+    const socket_counts socket = parts_.socket->counts();
+    for (const socket_count_row& row : socket_drop_rows)
+    {
+        if (const std::uint64_t count = socket.*row.value)
+        {
+            shown.dropped.push_back({std::string(row.name), count});
         }
     }
     shown.received = received_;
--- a/catkinkeel/operators/metrics.cpp
+++ b/catkinkeel/operators/metrics.cpp
@@ -1,7 +1,10 @@
 #include "catkinkeel/operators/metrics.hpp"
 
 #include "catkinkeel/event/catalogue.hpp"
+#include "catkinkeel/link/drop.hpp"
 #include "catkinkeel/operators/names.hpp"
+#include "catkinkeel/packet/reject_reason.hpp"
+#include "catkinkeel/packet/udp_socket.hpp"
 
 #include <prometheus/text_serializer.h>
 
@@ -49,27 +52,35 @@
     return {"handed_over", "received", "taken_over"};
 }
 
-// A packet is dropped by a decision or because it can't be parsed.
+// A packet is dropped by a decision, because it can't be parsed, or by the
+// kernel.
 values packet_drops()
 {
     values all = names<discard_reason>();
-    for (const char* reason : {"malformed", "truncated", "fragment",
-                               "unsupported_protocol", "ring_full"})
+    for (const reject_reason_row& row : reject_reason_rows)
     {
-        all.emplace_back(reason);
+        all.emplace_back(row.name);
+    }
+    for (const socket_count_row& row : socket_drop_rows)
+    {
+        all.emplace_back(row.name);
     }
     return all;
 }
 
 values rings()
 {
-    return {"packets", "control"};
+    return {"control"};
 }
 
 values message_drops()
 {
-    return {"unknown_sender", "unknown_key",    "bad_mac",   "replayed",
-            "too_long",       "unknown_format", "malformed", "ring_full"};
+    values all;
+    for (std::size_t i = 0; i < drop_reason_count; ++i)
+    {
+        all.emplace_back(to_string(static_cast<drop_reason>(i)));
+    }
+    return all;
 }
 
 values severities()
--- a/catkinkeel/operators/operators_test.cpp
+++ b/catkinkeel/operators/operators_test.cpp
@@ -1,7 +1,10 @@
 #include "catkinkeel/base/random.hpp"
+#include "catkinkeel/link/drop.hpp"
 #include "catkinkeel/operators/documents.hpp"
 #include "catkinkeel/operators/metrics.hpp"
 #include "catkinkeel/operators/names.hpp"
+#include "catkinkeel/packet/reject_reason.hpp"
+#include "catkinkeel/packet/udp_socket.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -293,6 +296,44 @@
     }
 }
 
+// Guards against a drop that is counted under a label that is not exported.
+TEST_CASE("every reason to drop packets and messages has a series")
+{
+    metrics_snapshot snapshot;
+    for (const auto& row : names_of(discard_reason{}))
+    {
+        snapshot.packets_dropped[std::string(row.name)] = 1;
+    }
+    for (const auto& row : reject_reason_rows)
+    {
+        snapshot.packets_dropped[std::string(row.name)] = 1;
+    }
+    for (const auto& row : socket_drop_rows)
+    {
+        snapshot.packets_dropped[std::string(row.name)] = 1;
+    }
+    for (std::size_t i = 0; i < drop_reason_count; ++i)
+    {
+        snapshot.messages_dropped[std::string(
+            to_string(static_cast<drop_reason>(i)))] = 1;
+    }
+    for (const auto& family : collect(snapshot))
+    {
+        const bool drops = family.name == "catkinkeel_packets_dropped_total" ||
+                           family.name == "catkinkeel_messages_dropped_total";
+        double total = 0;
+        for (const auto& metric : family.metric)
+        {
+            total += metric.counter.value;
+        }
+        const std::size_t expected =
+            family.name == "catkinkeel_packets_dropped_total"
+                ? snapshot.packets_dropped.size()
+                : snapshot.messages_dropped.size();
+        CHECK((!drops || total == static_cast<double>(expected)));
+    }
+}
+
 TEST_CASE("the alerts name only metrics and label values that exist")
 {
     const std::string alerts = source_file("samples/alerts.yml");
--- a/catkinkeel/packet/udp_socket.hpp
+++ b/catkinkeel/packet/udp_socket.hpp
@@ -81,6 +81,13 @@
     socket_count_row{"port_closed", &socket_counts::port_closed},
 };
 
+/// The counts of datagrams that were lost here.
+inline constexpr std::array socket_drop_rows{
+    socket_count_row{"receive_overflow", &socket_counts::receive_overflow},
+    socket_count_row{"dropped_no_room", &socket_counts::dropped_no_room},
+    socket_count_row{"dropped_unsendable", &socket_counts::dropped_unsendable},
+};
+
 /// An open socket, closed with its last owner. One thread may receive while
 /// another sends; `stop`, `local` and `counts` may be called by any thread.
 class udp_socket
