--- a/catkinkeel/daemon/operators_server.cpp
+++ b/catkinkeel/daemon/operators_server.cpp
@@ -6,7 +6,6 @@
 #include <civetweb.h>
 
 #include <array>
-#include <charconv>
 #include <future>
 #include <string>
 #include <utility>
@@ -27,27 +26,18 @@
 
 constexpr duration explain_timeout = 500ms;
 
+/// Empty if the parameter is absent. A value too long to be legal is replaced
+/// by one that no parser takes, so that it does not pass for an absent one.
 std::string parameter(const std::string& query, const char* name)
 {
     std::array<char, 256> value{};
     const int size = mg_get_var(query.data(), query.size(), name, value.data(),
                                 value.size());
-    return size < 0 ? std::string()
-                    : std::string(value.data(), static_cast<std::size_t>(size));
-}
-
-template <class Number>
-Number number_parameter(const std::string& query, const char* name,
-                        Number otherwise)
-{
-    const std::string text = parameter(query, name);
-    Number number{};
-    const auto [end, error] =
-        std::from_chars(text.data(), text.data() + text.size(), number);
-    return error == std::errc{} && end == text.data() + text.size() &&
-                   !text.empty()
-               ? number
-               : otherwise;
+    if (size < 0)
+    {
+        return size == -2 ? "(too long)" : "";
+    }
+    return {value.data(), static_cast<std::size_t>(size)};
 }
 
 explain_document make_explain(const flow_key& key, const explanation& why)
@@ -224,15 +214,18 @@
 
 operators_server::answer operators_server::audit(const std::string& query) const
 {
-    const audit_query defaults;
-    const audit_query asked{number_parameter(query, "after", defaults.after),
-                            number_parameter(query, "limit", defaults.limit)};
+    const auto asked =
+        parse_audit_query(parameter(query, "after"), parameter(query, "limit"));
+    if (!asked)
+    {
+        return {400, "text/plain", asked.error().message + "\n"};
+    }
     audit_document document;
     document.daemon = {facts_.vm, facts_.name, facts_.data_centre,
                        std::string(release()), wall_now()};
     document.dropped = events_->audit().dropped();
     for (const audit_entry& each :
-         events_->audit().entries(asked.after, asked.limit))
+         events_->audit().entries(asked.value().after, asked.value().limit))
     {
         document.entries.push_back(make_audit_line(each));
     }
