--- a/apps/catkinkeeld.cpp
+++ b/apps/catkinkeeld.cpp
@@ -23,6 +23,16 @@
     wrong_usage = 2
 };
 
+/// TCLAP's output with the release in one line, as `catkinkeel --version`.
+class daemon_output : public TCLAP::StdOutput
+{
+public:
+    void version(TCLAP::CmdLineInterface& /*line*/) override
+    {
+        std::cout << "catkinkeeld " << release() << '\n';
+    }
+};
+
 /// Signals are blocked before any thread starts, and taken by `sigwait` only.
 sigset_t block_signals()
 {
@@ -99,6 +109,8 @@
             "s", "settings", "Settings file (TOML)", true, "", "FILE", line);
         const TCLAP::SwitchArg check("c", "check",
                                      "Check the settings file and exit", line);
+        daemon_output output;
+        line.setOutput(&output);
         line.setExceptionHandling(false);
         line.parse(argc, argv);
         return check_and_run(file.getValue(), check.getValue());
--- a/catkinkeel/cli/contract_tools.cpp
+++ b/catkinkeel/cli/contract_tools.cpp
@@ -112,7 +112,9 @@
         for (const shown_field<Object>& field : fields)
         {
             text += text.empty() ? "" : ", ";
-            text += std::string(field.key) + " " + field.text(object);
+            text += field.key;
+            text += " ";
+            text += field.text(object);
         }
         return text;
     };
@@ -134,7 +136,11 @@
             if (former != now)
             {
                 text += text.empty() ? "" : ", ";
-                text += std::string(field.key) + " " + former + " -> " + now;
+                text += field.key;
+                text += " ";
+                text += former;
+                text += " -> ";
+                text += now;
             }
         }
         changes.push_back({"changed", label(after), text});
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -7,5 +7,5 @@
 tools/install_packages.sh
 cmake -S . -B "$build" -G Ninja >/dev/null
 cmake --build "$build"
-ctest --test-dir "$build" --output-on-failure -j 4
+tools/run_tests.sh "$build"
 spec/check.sh
