--- a/measure/policy_service.cpp
+++ b/measure/policy_service.cpp
@@ -154,10 +154,10 @@
             s.trace("data centre out", published);
             for (const auto& [when, count] : lost_openings)
             {
-                std::printf("# %s %s out, seed %llu: %.1f s after publication "
+                std::printf("# %s %s out, seed %s: %.1f s after publication "
                             "%d openings ended: %s\n",
                             context.subject.name, size.name,
-                            static_cast<unsigned long long>(context.seed + n),
+                            std::to_string(context.seed + n).c_str(),
                             0.5 * static_cast<double>(when.first), count,
                             when.second.c_str());
             }
