--- a/catkinkeel/daemon/daemon.cpp
+++ b/catkinkeel/daemon/daemon.cpp
@@ -245,7 +245,7 @@
 
 outcome<std::shared_ptr<entry_daemon>>
 entry_daemon::start(const daemon_settings& settings,
-                    std::shared_ptr<reporter> events)
+                    const std::shared_ptr<reporter>& events)
 {
     auto made = std::make_unique<implementation>(settings, events);
     if (const auto opened = made->open(); !opened)
--- a/catkinkeel/daemon/daemon.hpp
+++ b/catkinkeel/daemon/daemon.hpp
@@ -23,7 +23,8 @@
     /// Opens the sockets and starts the threads. Fails with the reason if an
     /// endpoint or the key file cannot be used; nothing runs then.
     static outcome<std::shared_ptr<entry_daemon>>
-    start(const daemon_settings& settings, std::shared_ptr<reporter> events);
+    start(const daemon_settings& settings,
+          const std::shared_ptr<reporter>& events);
 
     /// Stops at once what still runs.
     ~entry_daemon();
--- a/catkinkeel/flow/balancer.cpp
+++ b/catkinkeel/flow/balancer.cpp
@@ -419,7 +419,7 @@
     if (facts.phase == flow_phase::finishing ||
         facts.phase == flow_phase::aborted)
     {
-        record.state = flow_state::ended;
+        end_flow(record);
     }
     else if (facts.phase != flow_phase::opening &&
              record.state == flow_state::opened)
@@ -755,6 +755,26 @@
     return added;
 }
 
+void balancer::end_flow(flow_record& record)
+{
+    // It no longer counts as held: the target is about to close it, and its
+    // report tells if it does not.
+    if (record.state != flow_state::ended)
+    {
+        record.state = flow_state::ended;
+        release_held(record.target);
+    }
+}
+
+void balancer::release_held(target_id id)
+{
+    const auto held = held_.find(id);
+    if (held != held_.end() && --held->second == 0)
+    {
+        held_.erase(held);
+    }
+}
+
 void balancer::remove_flow(const flow_key& key, std::uint64_t hash)
 {
     const flow_record* record = flows_.find(key, hash);
@@ -762,10 +782,9 @@
     {
         return;
     }
-    if (const auto held = held_.find(record->target);
-        held != held_.end() && --held->second == 0)
+    if (record->state != flow_state::ended)
     {
-        held_.erase(held);
+        release_held(record->target);
     }
     const bool replicated = record->replicated;
     const bucket_id bucket = bucket_of(hash);
--- a/catkinkeel/flow/balancer.hpp
+++ b/catkinkeel/flow/balancer.hpp
@@ -288,6 +288,8 @@
     service_load make_load(service_id service) const;
     flow_record* add_flow(const flow_record& record, std::uint64_t hash);
     void remove_flow(const flow_key& key, std::uint64_t hash);
+    void end_flow(flow_record& record);
+    void release_held(target_id id);
     void note_if_exception(flow_record& record, std::uint64_t hash);
     [[nodiscard]] bool must_replicate(const flow_record& record,
                                       std::uint64_t hash) const;
--- a/catkinkeel/flow/replication.cpp
+++ b/catkinkeel/flow/replication.cpp
@@ -15,6 +15,7 @@
 /// bytes, an exception 10, and flows are promised to survive from 5 s on.
 constexpr std::size_t exceptions_worth_a_message = 20;
 constexpr duration collect_for = 300ms;
+constexpr std::uint64_t exceptions_to_wait_for = 60;
 constexpr std::size_t buckets_per_message = 2000;
 constexpr std::uint64_t override_bytes = 20;
 constexpr std::uint64_t weighted_target_bytes = 8;
@@ -51,8 +52,13 @@
                          !unsettled_changed_ &&
                          queue_.size() < exceptions_worth_a_message &&
                          now - sent_at_ < collect_for;
-        if (nothing_to_say || few ||
-            budget.value < message_bytes + exception_bytes)
+        // A message of one exception for each bit of budget would spend it on
+        // frames.
+        const std::uint64_t worthwhile =
+            message_bytes +
+            exception_bytes * std::clamp<std::uint64_t>(queue_.size(), 1,
+                                                        exceptions_to_wait_for);
+        if (nothing_to_say || few || budget.value < worthwhile)
         {
             return std::nullopt;
         }
--- a/catkinkeel/link/codec_test.cpp
+++ b/catkinkeel/link/codec_test.cpp
@@ -193,8 +193,11 @@
 
 TEST_CASE("a truncated body is malformed at every length")
 {
-    const byte_buffer whole = encode_message(replicate{
-        1, 2, {3}, 0, {}, {{{4}, {5}}, {}, {}, make_exceptions(9, 40000)}});
+    const byte_buffer whole = encode_message(
+        replicate{.session = 1,
+                  .sequence = 2,
+                  .in_effect = {3},
+                  .state = {{{4}, {5}}, {}, {}, make_exceptions(9, 40000)}});
     for (std::size_t size = 0; size < whole.size(); ++size)
     {
         const auto decoded = decode_message(byte_view(whole).first(size));
--- a/measure/capacity_messages.cpp
+++ b/measure/capacity_messages.cpp
@@ -103,7 +103,10 @@
                  {static_cast<std::uint32_t>(random.below(24000))}});
         }
         print_row("message.handover_one_bucket", flows, wire_bytes(offer), "B");
-        replicate update{session, 1000, version, 0, {}, offer.state};
+        replicate update{.session = session,
+                         .sequence = 1000,
+                         .in_effect = version,
+                         .state = offer.state};
         update.state.buckets.clear();
         print_row("message.replicate", flows, wire_bytes(update), "B");
     }
