Fill the metrics and emit the events that operators are told of

Cause: a review of the product found catkinkeel_replication_oldest_seconds and catkinkeel_control_received_bytes_total never set, so that the alert on late replication could not fire; catkinkeel_exceptions counted openings; and events for taken-over buckets, refusals, drops, backlog, a full table, a full ring and silent peers were never emitted, or with placeholder fields.

--- a/catkinkeel/daemon/daemon.cpp
+++ b/catkinkeel/daemon/daemon.cpp
@@ -211,7 +211,15 @@
     while (!clock_stop.pop_for(clock_period) && !clock_stop.closed())
     {
         decide->try_push(clock_tick{steady_now()});
-        board->control_refused = decide->refused() + configuration->refused();
+        const std::uint64_t refused =
+            decide->refused() + configuration->refused();
+        const std::uint64_t before = board->control_refused.exchange(refused);
+        if (refused > before)
+        {
+            events->report(event_number::ring_full,
+                           {field("ring", std::string("control")),
+                            field("count", refused - before)});
+        }
         events->report_suppressed();
     }
 }
--- a/catkinkeel/daemon/decider.cpp
+++ b/catkinkeel/daemon/decider.cpp
@@ -229,6 +229,10 @@
             event_number::process_validated,
             {field("version", parts_.board->in_effect.load())});
     }
+    if (!input.may_open && may_open_)
+    {
+        parts_.events->report(event_number::peers_silent, {});
+    }
     may_open_ = input.may_open;
     core_.allow_opening(input.may_open);
     targets_.apply_stewardship(input.stewardship, now);
--- a/catkinkeel/daemon/decider.hpp
+++ b/catkinkeel/daemon/decider.hpp
@@ -69,6 +69,10 @@
     [[nodiscard]] std::vector<target_view> view_targets(instant now);
     [[nodiscard]] bucket_status view_buckets() const;
     [[nodiscard]] std::vector<data_centre_status> view_data_centres() const;
+    void report_counters(const decide_snapshot& shown);
+    void report_reasons(event_number number,
+                        const std::vector<reason_count>& counts,
+                        std::map<std::string, std::uint64_t>& last);
     void report_target_changes(const std::vector<target_view>& targets);
 
     daemon_settings settings_;
@@ -92,6 +96,8 @@
     double flow_budget_ = 0;
     std::map<target_id, bearing_reason> last_reasons_;
     balancer_stats last_stats_;
+    std::map<std::string, std::uint64_t> last_refused_;
+    std::map<std::string, std::uint64_t> last_dropped_;
 };
 
 } // namespace catkinkeel
--- a/catkinkeel/daemon/decider_snapshot.cpp
+++ b/catkinkeel/daemon/decider_snapshot.cpp
@@ -4,6 +4,7 @@
 #include "catkinkeel/operators/names.hpp"
 
 #include <algorithm>
+#include <array>
 #include <string>
 #include <utility>
 
@@ -30,6 +31,9 @@
     }
 }
 
+/// A backlog above this is reported; it takes about 10 s to replicate.
+constexpr std::uint64_t reported_backlog = 1000;
+
 /// Flows of the busiest warm target of a service against their mean, the
 /// highest of all services.
 double load_ratio(const std::vector<target_view>& targets)
@@ -66,6 +70,62 @@
 
 } // namespace
 
+void decider::report_counters(const decide_snapshot& shown)
+{
+    struct counter_event
+    {
+        event_number number;
+        std::uint64_t balancer_stats::*count;
+    };
+    static constexpr std::array counters{
+        counter_event{event_number::buckets_handed_over,
+                      &balancer_stats::buckets_handed_over},
+        counter_event{event_number::buckets_taken_over,
+                      &balancer_stats::buckets_taken_over}};
+    for (const counter_event& each : counters)
+    {
+        const std::uint64_t added =
+            shown.flows.*each.count - last_stats_.*each.count;
+        if (added > 0)
+        {
+            parts_.events->report(each.number, {field("buckets", added)});
+        }
+    }
+    report_reasons(event_number::flows_refused, shown.refused, last_refused_);
+    report_reasons(event_number::packets_dropped, shown.dropped, last_dropped_);
+    if (shown.flows.replication_backlog > reported_backlog)
+    {
+        parts_.events->report(
+            event_number::replication_backlog,
+            {field("exceptions", shown.flows.replication_backlog),
+             field("milliseconds",
+                   std::chrono::duration_cast<std::chrono::milliseconds>(
+                       shown.replication_oldest)
+                       .count())});
+    }
+    if (shown.flows.flows >= shown.flow_capacity)
+    {
+        parts_.events->report(event_number::flow_table_full,
+                              {field("capacity", shown.flow_capacity)});
+    }
+}
+
+void decider::report_reasons(event_number number,
+                             const std::vector<reason_count>& counts,
+                             std::map<std::string, std::uint64_t>& last)
+{
+    for (const reason_count& each : counts)
+    {
+        std::uint64_t& before = last[each.reason];
+        if (each.count > before)
+        {
+            parts_.events->report(number, {field("count", each.count - before),
+                                           field("reason", each.reason)});
+        }
+        before = each.count;
+    }
+}
+
 void decider::publish_snapshot(instant now)
 {
     decide_snapshot shown;
@@ -106,15 +166,8 @@
     shown.may_open = may_open_;
     shown.pauses = pauses_;
     report_target_changes(shown.targets);
-    if (shown.flows.buckets_handed_over != last_stats_.buckets_handed_over)
-    {
-        parts_.events->report(
-            event_number::buckets_handed_over,
-            {field("buckets", shown.flows.buckets_handed_over -
-                                  last_stats_.buckets_handed_over),
-             field("exceptions", std::string("their")),
-             field("vm", std::string("of their owners"))});
-    }
+    shown.replication_oldest = core_.replication_age(now);
+    report_counters(shown);
     last_stats_ = shown.flows;
     parts_.board->holdings_settled = core_.holdings_settled();
     parts_.board->decide.put(std::move(shown));
--- a/catkinkeel/daemon/peers_duty.cpp
+++ b/catkinkeel/daemon/peers_duty.cpp
@@ -297,13 +297,17 @@
                                  version});
     }
     shown.list_age = fleet_.list_age(now);
-    shown.sent = parts_.link->counts().sent_bytes;
-    sent_history_.emplace_back(now, shown.sent.value);
-    while (now - sent_history_.front().first > history_length)
+    const transport_counts counts = parts_.link->counts();
+    shown.sent = counts.sent_bytes;
+    shown.received = counts.received_bytes;
+    traffic_.push_back({now, shown.sent, shown.received});
+    while (now - traffic_.front().at > history_length)
     {
-        sent_history_.pop_front();
+        traffic_.pop_front();
     }
-    shown.sent_last_minute = {shown.sent.value - sent_history_.front().second};
+    const traffic_sample& oldest = traffic_.front();
+    shown.sent_last_minute = {shown.sent.value - oldest.sent.value};
+    shown.received_last_minute = {shown.received.value - oldest.received.value};
     for (std::size_t i = 0; i < drop_reason_count; ++i)
     {
         const auto reason = static_cast<drop_reason>(i);
--- a/catkinkeel/daemon/peers_duty.hpp
+++ b/catkinkeel/daemon/peers_duty.hpp
@@ -66,8 +66,14 @@
     std::optional<instant> last_tick_;
     std::optional<instant> last_standing_;
     bool last_may_open_ = false;
-    /// Bytes sent by the end of each of the last 60 seconds.
-    std::deque<std::pair<instant, std::uint64_t>> sent_history_;
+    /// Traffic of the last 60 seconds.
+    struct traffic_sample
+    {
+        instant at;
+        byte_count sent;
+        byte_count received;
+    };
+    std::deque<traffic_sample> traffic_;
 };
 
 } // namespace catkinkeel
--- a/catkinkeel/daemon/status_board.cpp
+++ b/catkinkeel/daemon/status_board.cpp
@@ -13,6 +13,12 @@
     return std::chrono::duration<double>(at.time_since_epoch()).count();
 }
 
+std::uint64_t milliseconds_of(duration time)
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 labelled_values by_reason(const std::vector<reason_count>& counts)
 {
     labelled_values values;
@@ -32,9 +38,11 @@
     metrics.flows_refused = by_reason(decide.refused);
     metrics.target_load_ratio = decide.target_load_ratio;
     metrics.mixed_references = static_cast<double>(flows.mixed_references);
-    metrics.exceptions = static_cast<double>(flows.exceptions_opened);
+    metrics.exceptions = static_cast<double>(flows.exceptions);
     metrics.replication_backlog =
         static_cast<double>(flows.replication_backlog);
+    metrics.replication_oldest_seconds =
+        std::chrono::duration<double>(decide.replication_oldest).count();
     metrics.buckets_moved["handed_over"] =
         static_cast<double>(flows.buckets_handed_over);
     metrics.buckets_moved["received"] =
@@ -78,7 +86,7 @@
                       .capacity = decide->flow_capacity,
                       .opened = decide->flows.flows_opened,
                       .refused = 0,
-                      .exceptions = decide->flows.exceptions_opened,
+                      .exceptions = decide->flows.exceptions,
                       .mixed_references = static_cast<std::uint32_t>(
                           decide->flows.mixed_references)};
     for (const reason_count& each : decide->refused)
@@ -86,11 +94,12 @@
         document.flows.refused += each.count;
     }
     document.replication = {.backlog = decide->flows.replication_backlog,
-                            .oldest_ms = 0,
+                            .oldest_ms =
+                                milliseconds_of(decide->replication_oldest),
                             .held_for_others = decide->flows.replicas_held};
     document.control = {.budget_per_second = facts.control_budget,
                         .sent_last_minute = peers->sent_last_minute,
-                        .received_last_minute = {}};
+                        .received_last_minute = peers->received_last_minute};
     document.dropped_packets = decide->dropped;
     return document;
 }
@@ -134,6 +143,7 @@
     metrics.ring_refused["control"] =
         static_cast<double>(board.control_refused.load());
     metrics.control_sent_bytes = static_cast<double>(peers->sent.value);
+    metrics.control_received_bytes = static_cast<double>(peers->received.value);
     metrics.control_budget_bytes =
         static_cast<double>(facts.control_budget.value);
     metrics.messages_dropped = by_reason(peers->dropped_messages);
--- a/catkinkeel/daemon/status_board.hpp
+++ b/catkinkeel/daemon/status_board.hpp
@@ -59,6 +59,7 @@
     std::uint64_t delivered = 0;
     std::uint64_t relayed = 0;
     double target_load_ratio = 0;
+    duration replication_oldest{};
     bool may_open = false;
     std::uint64_t pauses = 0;
 };
@@ -70,6 +71,8 @@
     std::optional<duration> list_age;
     byte_count sent;
     byte_count sent_last_minute;
+    byte_count received;
+    byte_count received_last_minute;
     std::vector<reason_count> dropped_messages;
 };
 
--- a/catkinkeel/event/catalogue.cpp
+++ b/catkinkeel/event/catalogue.cpp
@@ -50,10 +50,10 @@
                      "a peer acknowledged this VM with set {version}; opening "
                      "packets are decided again",
                      "None."},
-    event_definition{
-        number::peers_silent, "peers_silent", warning, change::none, minute,
-        "no peer acknowledged this VM for {milliseconds} ms; it opens no flow",
-        "Check the control network of this VM."},
+    event_definition{number::peers_silent, "peers_silent", warning,
+                     change::none, minute,
+                     "no peer acknowledges this VM; it opens no flow",
+                     "Check the control network of this VM."},
     event_definition{number::ring_full, "ring_full", warning, change::none,
                      minute, "ring {ring} is full; {count} entries refused",
                      "If it repeats, the VM is overloaded: add entry VMs or "
@@ -197,16 +197,12 @@
     event_definition{
         number::buckets_claimed, "buckets_claimed", info, change::none, 0,
         "claimed {buckets} buckets from {vms} VMs in round {round}", "None."},
-    event_definition{
-        number::buckets_handed_over, "buckets_handed_over", info, change::none,
-        0,
-        "handed {buckets} buckets with {exceptions} exceptions over to VM {vm}",
-        "None."},
-    event_definition{number::buckets_taken_over, "buckets_taken_over", warning,
+    event_definition{number::buckets_handed_over, "buckets_handed_over", info,
                      change::none, 0,
-                     "took {buckets} buckets with {exceptions} exceptions over "
-                     "from dead VM {vm}",
-                     "None."},
+                     "handed {buckets} buckets over to their owners", "None."},
+    event_definition{
+        number::buckets_taken_over, "buckets_taken_over", warning, change::none,
+        0, "took {buckets} buckets over that no live VM held", "None."},
     event_definition{
         number::standby_incomplete, "standby_incomplete", warning, change::none,
         minute,
@@ -224,8 +220,7 @@
         "flow table of {capacity} records is full; new flows are refused",
         "Add entry VMs or raise flows.capacity."},
     event_definition{number::flows_refused, "flows_refused", warning,
-                     change::none, minute,
-                     "{count} flows of service {service} refused: {reason}",
+                     change::none, minute, "{count} flows refused: {reason}",
                      "For no_capacity or no_target add or undrain targets; for "
                      "a rate limit check the callers."},
     event_definition{number::packets_dropped, "packets_dropped", warning,
--- a/catkinkeel/flow/balancer.cpp
+++ b/catkinkeel/flow/balancer.cpp
@@ -887,6 +887,16 @@
     return why;
 }
 
+duration balancer::replication_age(instant now) const
+{
+    duration oldest{};
+    for (const auto& [vm, stream] : streams_)
+    {
+        oldest = std::max(oldest, stream.oldest(now));
+    }
+    return oldest;
+}
+
 balancer_stats balancer::stats() const
 {
     balancer_stats all = counters_;
--- a/catkinkeel/flow/balancer.hpp
+++ b/catkinkeel/flow/balancer.hpp
@@ -83,6 +83,8 @@
     std::uint64_t flows = 0;
     std::uint64_t buckets_held = 0;
     std::uint64_t replication_backlog = 0;
+    /// Flows replicated to standbys, counted by the last sweep (3 s).
+    std::uint64_t exceptions = 0;
     std::uint64_t replicas_held = 0;
     std::uint64_t overrides = 0;
     /// Base tables that name another service than the set in effect.
@@ -177,6 +179,8 @@
     }
 
     [[nodiscard]] balancer_stats stats() const;
+    /// Age of the oldest flow that a standby has not acknowledged.
+    [[nodiscard]] duration replication_age(instant now) const;
     [[nodiscard]] const published_set_ptr& set_in_effect() const
     {
         return context_.set;
@@ -423,6 +427,7 @@
     bool standbys_stale_ = false;
 
     std::size_t sweep_at_ = 0;
+    std::uint64_t exceptions_seen_ = 0;
     std::map<lineage_key, override_use> override_uses_;
     std::map<lineage_key, override_switch> switches_;
     balancer_stats counters_;
--- a/catkinkeel/flow/balancer_sweep.cpp
+++ b/catkinkeel/flow/balancer_sweep.cpp
@@ -3,6 +3,8 @@
 #include "catkinkeel/base/hash.hpp"
 #include "catkinkeel/flow/balancer.hpp"
 
+#include <utility>
+
 namespace catkinkeel
 {
 
@@ -83,6 +85,7 @@
     count_override_use(record, hash);
     if (record.replicated)
     {
+        ++exceptions_seen_;
         return;
     }
     const bucket_id bucket = bucket_of(hash);
@@ -134,6 +137,7 @@
         }
     }
     override_uses_.clear();
+    counters_.exceptions = std::exchange(exceptions_seen_, 0);
     collect_lineages();
     std::erase_if(retired_,
                   [&](const auto& entry)
--- a/catkinkeel/flow/replication.cpp
+++ b/catkinkeel/flow/replication.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr duration resend_after = 500ms;
+constexpr duration sample_period = 1s;
 /// Keeps a message near one kilobyte, so that one loss repeats little.
 constexpr std::size_t exceptions_per_message = 100;
 /// Fewer exceptions wait this long for others: the frame of a message is 131
@@ -44,6 +45,7 @@
 replication_stream::next(const replication_source& source, byte_count budget,
                          instant now)
 {
+    sample_age(now);
     if (!in_flight_)
     {
         const bool nothing_to_say = to_assign_.empty() && to_drop_.empty() &&
@@ -82,6 +84,20 @@
     return in_flight_;
 }
 
+void replication_stream::sample_age(instant now)
+{
+    while (!samples_.empty() && samples_.front().added <= acknowledged_)
+    {
+        samples_.pop_front();
+    }
+    if (backlog() > 0 &&
+        (samples_.empty() || (samples_.back().added < added_ &&
+                              now - samples_.back().at >= sample_period)))
+    {
+        samples_.push_back({added_, now});
+    }
+}
+
 replicate replication_stream::build(const replication_source& source,
                                     byte_count budget)
 {
--- a/catkinkeel/flow/replication.hpp
+++ b/catkinkeel/flow/replication.hpp
@@ -118,6 +118,11 @@
     {
         return added_ - acknowledged_;
     }
+    /// Age of the oldest flow that waits, to the second; 0 if none does.
+    [[nodiscard]] duration oldest(instant now) const
+    {
+        return samples_.empty() ? duration{} : now - samples_.front().at;
+    }
     [[nodiscard]] bool assigning() const
     {
         return !to_assign_.empty();
@@ -128,6 +133,7 @@
     void take_assignments(const replication_source& source, byte_count budget,
                           replicate& update);
     void take_dropped(replicate& update);
+    void sample_age(instant now);
 
     std::uint64_t session_;
     std::uint64_t sequence_ = 0;
@@ -141,6 +147,13 @@
     std::deque<flow_key> queue_;
     std::uint64_t added_ = 0;
     std::uint64_t acknowledged_ = 0;
+    /// How many flows had been added at some moments, for their age.
+    struct sample
+    {
+        std::uint64_t added = 0;
+        instant at;
+    };
+    std::deque<sample> samples_;
 };
 
 /// Bytes that a message of this content is reckoned to take.
--- a/catkinkeel/link/transport.cpp
+++ b/catkinkeel/link/transport.cpp
@@ -313,6 +313,8 @@
 void transport::accept(byte_view bytes)
 {
     const std::lock_guard lock(mutex_);
+    counts_.received_bytes =
+        counts_.received_bytes + byte_count{bytes.size()} + header_cost;
     const received_frame opened =
         sessions_.open(bytes, [&](vm_id id) { return known(id); });
     if (const auto* const content = std::get_if<received_content>(&opened))
--- a/catkinkeel/link/transport.hpp
+++ b/catkinkeel/link/transport.hpp
@@ -70,6 +70,8 @@
     std::uint64_t sent_messages = 0;
     byte_count sent_bytes;
     std::uint64_t received_messages = 0;
+    /// Of all frames, with their headers.
+    byte_count received_bytes;
     std::uint64_t over_budget = 0;
     std::uint64_t queue_full = 0;
     std::uint64_t dialers_opened = 0;
