--- a/catkinkeel/flow/balancer.hpp
+++ b/catkinkeel/flow/balancer.hpp
@@ -265,7 +265,7 @@
     };
     using lineage_key = std::pair<std::uint16_t, base_key>;
 
-    // balancer.cpp: decisions
+    // balancer.cpp, balancer_placement.cpp, balancer_sets.cpp: decisions
     verdict decide_as_holder(const packet_facts& facts, std::uint64_t hash,
                              instant now);
     verdict route_to_holder(const packet_facts& facts, bucket_id bucket) const;
@@ -314,7 +314,7 @@
     [[nodiscard]] service_id service_to_open(const reference& ref,
                                              bucket_id bucket) const;
 
-    // balancer_sweep: periodic work
+    // balancer_sweep.cpp: periodic work
     void sweep(instant now);
     [[nodiscard]] bool is_over(const flow_record& record, instant now) const;
     void sweep_flow(flow_record& record);
@@ -324,7 +324,7 @@
     void complete_switches();
     void collect_lineages();
 
-    // balancer_peers.cpp: messages and holdings
+    // balancer_holdings.cpp and balancer_peers.cpp: holdings and messages
     void on_replicate(vm_id from, const replicate& update);
     void on_replicate_ack(vm_id from, const replicate_ack& ack);
     void on_claim(vm_id from, const claim& asked, instant now);
--- /dev/null
+++ b/catkinkeel/flow/balancer_holdings.cpp
@@ -0,0 +1,410 @@
+// Which buckets this VM holds: changes of members, claims, failover.
+
+#include "catkinkeel/base/hash.hpp"
+#include "catkinkeel/flow/balancer.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace catkinkeel
+{
+
+namespace
+{
+
+/// A VM that left gracefully and sent no handover for this time has stopped.
+constexpr duration leaving_holder_timeout = 10s;
+/// A VM of a data centre taken out that has not answered a claim for this long
+/// is asked no more and gets no relayed packets. Sets take effect within 2 s of
+/// each other, and a VM answers as soon as it has the set.
+constexpr duration out_of_service_holder_timeout = 2s;
+
+} // namespace
+
+// Members and holdings
+
+void balancer::apply_view(const member_view& view, instant now)
+{
+    started_ = started_.value_or(now);
+    std::vector<vm_id> died;
+    for (const member& was : view_.members)
+    {
+        const member* is = view.find(was.id);
+        if (was.may_own() && (is == nullptr || is->state == liveness::dead))
+        {
+            died.push_back(was.id);
+        }
+    }
+    const member* self_before = view_.find(self_);
+    const member* self_after = view.find(self_);
+    // A VM raises its incarnation when it refutes its own death, so others may
+    // have taken its buckets over.
+    const bool was_declared_dead =
+        self_before != nullptr && self_after != nullptr &&
+        self_before->incarnation != self_after->incarnation;
+    const bucket_map before = map_;
+    view_ = view;
+    update_map(now);
+    for (const vm_id vm : died)
+    {
+        streams_.erase(vm);
+        handovers_.erase(vm);
+        claims_.forget(vm);
+        fail_over(before, vm, now);
+    }
+    if (was_declared_dead)
+    {
+        doubt_holdings(now);
+    }
+    review_holdings(now);
+}
+
+void balancer::update_map(instant now)
+{
+    loads_.clear();
+    if (!context_.set)
+    {
+        return;
+    }
+    if (bucket_map::fingerprint_of(*context_.set, view_) != map_.fingerprint())
+    {
+        previous_map_ = std::exchange(map_, bucket_map(*context_.set, view_));
+        map_since_ = now;
+        doubt_regained();
+        owned_share_.clear();
+        for (const data_centre& home : context_.plan->group())
+        {
+            owned_share_[home.id.value] = map_.owned_share(self_, home.id);
+        }
+        standbys_stale_ = true;
+    }
+    // Handovers hold for one version and one map only. Claimants ask again.
+    for (auto& [vm, to] : handovers_)
+    {
+        mark_not_in_flight(to.stream.buckets_in_flight());
+    }
+    handovers_.clear();
+    review_holdings(now);
+}
+
+void balancer::doubt_regained()
+{
+    for (std::uint32_t i = 0; i < bucket_count; ++i)
+    {
+        // The owner in between may have taken the bucket over without this
+        // VM's handover and opened flows.
+        const bucket_id bucket{static_cast<std::uint16_t>(i)};
+        buckets_[i].doubted |= buckets_[i].held &&
+                               previous_map_.owner(bucket) != self_ &&
+                               map_.owner(bucket) == self_;
+    }
+}
+
+void balancer::review_holdings(instant now)
+{
+    if (!context_.set || all_owned_are_held())
+    {
+        return;
+    }
+    if (claims_.round() == 0 ||
+        claims_.map_fingerprint() != map_.fingerprint() || !claims_.waiting())
+    {
+        begin_claims(now);
+    }
+}
+
+bool balancer::all_owned_are_held() const
+{
+    for (std::uint32_t i = 0; i < bucket_count; ++i)
+    {
+        const bucket_slot& slot = buckets_[i];
+        const bucket_id bucket{static_cast<std::uint16_t>(i)};
+        if ((!slot.held || slot.doubted) && map_.owner(bucket) == self_)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::set<vm_id> balancer::possible_holders() const
+{
+    std::set<vm_id> holders;
+    for (const member& each : view_.members)
+    {
+        const bool in_group = std::ranges::any_of(
+            context_.plan->group(),
+            [&](const data_centre& dc) { return dc.id == each.data_centre; });
+        if (each.id != self_ && in_group && each.state != liveness::dead)
+        {
+            holders.insert(each.id);
+        }
+    }
+    return holders;
+}
+
+void balancer::begin_claims(instant now)
+{
+    member_view elsewhere = view_;
+    for (member& each : elsewhere.members)
+    {
+        if (each.data_centre == own_data_centre_)
+        {
+            each.state = liveness::left;
+        }
+    }
+    others_map_ = bucket_map(*context_.set, elsewhere);
+    claims_.begin(possible_holders(), map_.fingerprint(), now);
+    if (!claims_.waiting())
+    {
+        take_unheld(now);
+    }
+}
+
+void balancer::forget_silent_holders(instant now)
+{
+    const std::set<vm_id> pending = claims_.pending();
+    for (const vm_id vm : pending)
+    {
+        const member* found = view_.find(vm);
+        const bool out =
+            found != nullptr && !context_.set->in_service(found->data_centre) &&
+            claims_.silence(vm, now) > out_of_service_holder_timeout;
+        const bool gone = found != nullptr && found->state == liveness::left &&
+                          claims_.silence(vm, now) > leaving_holder_timeout;
+        if (found == nullptr || out || gone)
+        {
+            claims_.forget(vm);
+        }
+    }
+    if (!claims_.waiting() && !all_owned_are_held())
+    {
+        take_unheld(now);
+    }
+    offer_buckets_of_others(now);
+}
+
+std::optional<vm_id> balancer::likely_holder(bucket_id bucket) const
+{
+    for (const std::optional<vm_id>& candidate :
+         {previous_map_.owner(bucket), map_.standby(bucket),
+          others_map_.owner(bucket)})
+    {
+        if (candidate && *candidate != self_ && claims_.waiting_for(*candidate))
+        {
+            return candidate;
+        }
+    }
+    return std::nullopt;
+}
+
+void balancer::doubt_holdings(instant now)
+{
+    // Their senders may have died and been replaced in the meantime.
+    replicas_ = {};
+    for (bucket_slot& slot : buckets_)
+    {
+        slot.doubted = slot.held;
+    }
+    if (context_.set && !all_owned_are_held())
+    {
+        begin_claims(now);
+    }
+}
+
+bool balancer::holdings_settled() const
+{
+    for (std::uint32_t i = 0; i < bucket_count; ++i)
+    {
+        const bool owned = map_.owner({static_cast<std::uint16_t>(i)}) == self_;
+        if (buckets_[i].held != owned || buckets_[i].doubted)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+void balancer::hold(bucket_id bucket, std::uint16_t lineage)
+{
+    bucket_slot& slot = buckets_[bucket.value];
+    slot = {.held = true, .lineage = lineage, .standby = std::nullopt};
+    ++lineages_[lineage].buckets;
+    ++counters_.buckets_held;
+    standbys_stale_ = true;
+}
+
+void balancer::release(bucket_id bucket)
+{
+    bucket_slot& slot = buckets_[bucket.value];
+    if (slot.held)
+    {
+        --lineages_[slot.lineage].buckets;
+        --counters_.buckets_held;
+        slot = {};
+    }
+}
+
+void balancer::drop_flows_not_held()
+{
+    std::vector<flow_key> gone;
+    flows_.visit_all(
+        [&](flow_record& record)
+        {
+            if (!buckets_[bucket_of(hash_flow(record.key)).value].held)
+            {
+                gone.push_back(record.key);
+            }
+        });
+    for (const flow_key& key : gone)
+    {
+        remove_flow(key, hash_flow(key));
+    }
+}
+
+// Taking buckets over
+
+void balancer::fail_over(const bucket_map& before, vm_id dead, instant now)
+{
+    for (std::uint32_t i = 0; i < bucket_count; ++i)
+    {
+        const bucket_id bucket{static_cast<std::uint16_t>(i)};
+        if (before.owner(bucket) == dead && map_.owner(bucket) == self_ &&
+            !buckets_[i].held)
+        {
+            if (auto replica = replicas_.take(dead, bucket))
+            {
+                install(bucket, std::move(replica), now);
+            }
+        }
+    }
+}
+
+void balancer::take_unheld(instant now)
+{
+    if (!may_open_)
+    {
+        return;
+    }
+    for (std::uint32_t i = 0; i < bucket_count; ++i)
+    {
+        const bucket_id bucket{static_cast<std::uint16_t>(i)};
+        buckets_[i].doubted = false;
+        if (map_.owner(bucket) == self_ && !buckets_[i].held)
+        {
+            install(bucket, take_replica(bucket), now);
+        }
+    }
+}
+
+std::optional<bucket_replica> balancer::take_replica(bucket_id bucket)
+{
+    for (const member& each : view_.members)
+    {
+        if (each.may_own())
+        {
+            continue;
+        }
+        if (auto replica = replicas_.take(each.id, bucket))
+        {
+            return replica;
+        }
+    }
+    return std::nullopt;
+}
+
+void balancer::install(bucket_id bucket, std::optional<bucket_replica> replica,
+                       instant now)
+{
+    hold(bucket,
+         find_or_add_lineage(replica ? lineage_of_replica(*replica, now)
+                                     : lineage_without_replica(bucket, now)));
+    ++counters_.buckets_taken_over;
+    if (replica)
+    {
+        adopt_exceptions(replica->exceptions, now);
+    }
+}
+
+balancer::lineage balancer::lineage_of_replica(const bucket_replica& replica,
+                                               instant now) const
+{
+    lineage taken{.base = replica.base,
+                  .unseen_until = now + settings_.idle_timeout,
+                  .by_failover = true,
+                  .buckets = 0};
+    taken.base.mark_mixed_uncertain(context_);
+    return taken;
+}
+
+balancer::lineage balancer::lineage_without_replica(bucket_id bucket,
+                                                    instant now) const
+{
+    lineage taken{.base = {}, .unseen_until = now, .by_failover = true};
+    const std::optional<vm_id> former = previous_map_.owner(bucket);
+    if (former && *former != self_)
+    {
+        taken.unseen_until = now + settings_.idle_timeout;
+    }
+    for (const auto& [address, move] : moves_)
+    {
+        taken.base.mark_uncertain(address);
+    }
+    return taken;
+}
+
+std::uint16_t balancer::find_or_add_lineage(lineage wanted)
+{
+    std::optional<std::size_t> free;
+    for (std::size_t index = 0; index < lineages_.size(); ++index)
+    {
+        lineage& each = lineages_[index];
+        if (each.buckets == 0)
+        {
+            free = free.value_or(index);
+        }
+        else if (each.by_failover == wanted.by_failover &&
+                 each.base == wanted.base)
+        {
+            each.unseen_until =
+                std::max(each.unseen_until, wanted.unseen_until);
+            return static_cast<std::uint16_t>(index);
+        }
+    }
+    if (!free)
+    {
+        free = lineages_.size();
+        lineages_.emplace_back();
+    }
+    std::erase_if(switches_, [&](const auto& entry)
+                  { return entry.first.first == *free; });
+    lineages_[*free] = std::move(wanted);
+    return static_cast<std::uint16_t>(*free);
+}
+
+void balancer::adopt_exceptions(const std::vector<flow_exception>& exceptions,
+                                instant now)
+{
+    for (const flow_exception& each : exceptions)
+    {
+        const std::uint64_t hash = hash_flow(each.key);
+        const bucket_id bucket = bucket_of(hash);
+        if (each.ended || !buckets_[bucket.value].held ||
+            flows_.find(each.key, hash) != nullptr)
+        {
+            continue;
+        }
+        flow_record* added = add_flow({.key = each.key,
+                                       .target = each.target,
+                                       .last_seen = ticks(now),
+                                       .state = flow_state::established},
+                                      hash);
+        if (added != nullptr && buckets_[bucket.value].standby)
+        {
+            added->replicated = true;
+            replicate_flow(*added, bucket);
+        }
+    }
+}
+
+} // namespace catkinkeel
--- /dev/null
+++ b/catkinkeel/flow/balancer_sets.cpp
@@ -0,0 +1,226 @@
+// What a new published set changes: base tables, moved references, targets.
+
+#include "catkinkeel/base/hash.hpp"
+#include "catkinkeel/flow/balancer.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace catkinkeel
+{
+
+placement_plan_ptr balancer::make_plan(const published_set& set) const
+{
+    static const placement_plan none;
+    return std::make_shared<const placement_plan>(
+        set, group_of(set, own_data_centre_),
+        context_.plan ? *context_.plan : none);
+}
+
+void balancer::apply_set(published_set_ptr set, placement_plan_ptr plan,
+                         instant now)
+{
+    if (context_.set && set->version() <= context_.set->version())
+    {
+        return;
+    }
+    started_ = started_.value_or(now);
+    std::set<target_id> replaced;
+    if (context_.set)
+    {
+        replaced = forget_replaced_targets(*set);
+        retire_targets(*set, now);
+    }
+    placement_context next{std::move(set), std::move(plan)};
+    const std::vector<base_change> changes = changes_between(context_, next);
+    context_ = std::move(next);
+    set_since_ = now;
+    for (lineage& each : lineages_)
+    {
+        each.base.advance(changes);
+        if (each.by_failover && now < each.unseen_until)
+        {
+            // The former holder may have opened flows by this set already.
+            each.base.mark_mixed_uncertain(context_);
+        }
+    }
+    replicas_.advance(changes);
+    note_moves(changes);
+    for (lineage& each : lineages_)
+    {
+        each.base.forget_targets(replaced);
+    }
+    replicas_.forget_targets(replaced);
+    update_map(now);
+}
+
+std::set<target_id> balancer::forget_replaced_targets(const published_set& next)
+{
+    std::set<target_id> replaced;
+    for (const target& was : context_.set->objects().targets)
+    {
+        const target* is = next.find_target(was.id);
+        if (is != nullptr &&
+            (is->service != was.service || is->address != was.address))
+        {
+            replaced.insert(was.id);
+        }
+    }
+    if (replaced.empty())
+    {
+        return replaced;
+    }
+    // The identifier names another backend server now, which must get none of
+    // the former one's flows.
+    std::vector<flow_key> gone;
+    flows_.visit_all(
+        [&](flow_record& record)
+        {
+            if (replaced.contains(record.target))
+            {
+                gone.push_back(record.key);
+            }
+        });
+    for (const flow_key& key : gone)
+    {
+        remove_flow(key, hash_flow(key));
+    }
+    return replaced;
+}
+
+void balancer::note_moves(const std::vector<base_change>& changes)
+{
+    std::set<public_address> moved;
+    for (const base_change& change : changes)
+    {
+        if (!change.moves_service() || !moved.insert(change.key.address).second)
+        {
+            continue;
+        }
+        const public_address& address = change.key.address;
+        const bool known =
+            std::ranges::all_of(streams_, [&](const auto& entry)
+                                { return entry.second.announced(address); });
+        const auto [at, added] = moves_.try_emplace(
+            address, reference_move{.former = change.before->service});
+        if (added || known || at->second.settled)
+        {
+            at->second.former = change.before->service;
+        }
+        // Otherwise a standby does not know of the earlier move yet, and flows
+        // still open by the service before that.
+        at->second.settled = false;
+        at->second.marks.clear();
+        for (auto& [vm, stream] : streams_)
+        {
+            stream.unsettle(address);
+        }
+    }
+}
+
+bool balancer::mixed_anywhere(const public_address& address) const
+{
+    return std::ranges::any_of(
+        lineages_,
+        [&](const lineage& each)
+        {
+            return each.buckets > 0 &&
+                   std::ranges::any_of(
+                       context_.plan->group(),
+                       [&](const data_centre& home) {
+                           return each.base.mixed({address, home.id}, context_);
+                       });
+        });
+}
+
+void balancer::settle_moves()
+{
+    for (auto& [address, move] : moves_)
+    {
+        if (move.settled || mixed_anywhere(address))
+        {
+            continue;
+        }
+        if (move.marks.empty())
+        {
+            for (const auto& [vm, stream] : streams_)
+            {
+                move.marks.emplace(vm, stream.added());
+            }
+        }
+        move.settled = std::ranges::all_of(
+            move.marks,
+            [&](const auto& mark)
+            {
+                const auto stream = streams_.find(mark.first);
+                return stream == streams_.end() ||
+                       (stream->second.acknowledged() >= mark.second &&
+                        !stream->second.assigning());
+            });
+        if (move.settled)
+        {
+            for (auto& [vm, stream] : streams_)
+            {
+                stream.settle(address);
+            }
+        }
+    }
+}
+
+void balancer::unsettle_moves(replication_stream& stream)
+{
+    for (auto& [address, move] : moves_)
+    {
+        move.settled = false;
+        move.marks.clear();
+        stream.unsettle(address);
+    }
+}
+
+std::vector<public_address> balancer::moved_addresses() const
+{
+    std::vector<public_address> addresses;
+    for (const auto& [address, move] : moves_)
+    {
+        addresses.push_back(address);
+    }
+    return addresses;
+}
+
+bool balancer::standby_knows(bucket_id bucket,
+                             const public_address& address) const
+{
+    const std::optional<vm_id>& standby = buckets_[bucket.value].standby;
+    if (!standby)
+    {
+        return true;
+    }
+    const auto stream = streams_.find(*standby);
+    return stream != streams_.end() && stream->second.announced(address);
+}
+
+service_id balancer::service_to_open(const reference& ref,
+                                     bucket_id bucket) const
+{
+    const public_address address{ref.public_endpoint, ref.transport};
+    const auto move = moves_.find(address);
+    // A standby that takes over without knowing of the move would send packets
+    // of the new service's flows to the former service.
+    return move == moves_.end() || move->second.settled ||
+                   standby_knows(bucket, address)
+               ? ref.service
+               : move->second.former;
+}
+
+void balancer::retire_targets(const published_set& next, instant now)
+{
+    for (const target& each : context_.set->objects().targets)
+    {
+        if (next.find_target(each.id) == nullptr)
+        {
+            retired_.insert_or_assign(each.id, retired_target{each, now});
+        }
+    }
+}
+
+} // namespace catkinkeel
