Let replication collect for 3 s while budget is scarce

Cause: capacity exceptions, after batching, still told 13.2 flows a second of 34 at the design load (4,000 connections): 23 streams with few exceptions each spent the budget on frames (8.7 messages a second of 141 B) while the long ones waited. Change: with less than 4,000 B of budget a stream with under 20 exceptions waits 3 s, which stays below the 5 s from which flows must survive. The flow tests pass.

--- a/catkinkeel/flow/replication.cpp
+++ b/catkinkeel/flow/replication.cpp
@@ -16,6 +16,10 @@
 /// bytes, an exception 10, and flows are promised to survive from 5 s on.
 constexpr std::size_t exceptions_worth_a_message = 20;
 constexpr duration collect_for = 300ms;
+/// With less budget than this, streams with few exceptions would spend on
+/// frames what the long ones need. 3 s stay below the 5 s.
+constexpr byte_count scarce_budget{4000};
+constexpr duration collect_when_scarce = 3s;
 constexpr std::uint64_t exceptions_to_wait_for = 60;
 constexpr std::size_t buckets_per_message = 2000;
 constexpr std::uint64_t override_bytes = 20;
@@ -50,10 +54,11 @@
     {
         const bool nothing_to_say = to_assign_.empty() && to_drop_.empty() &&
                                     queue_.empty() && !unsettled_changed_;
-        const bool few = to_assign_.empty() && to_drop_.empty() &&
-                         !unsettled_changed_ &&
-                         queue_.size() < exceptions_worth_a_message &&
-                         now - sent_at_ < collect_for;
+        const bool few =
+            to_assign_.empty() && to_drop_.empty() && !unsettled_changed_ &&
+            queue_.size() < exceptions_worth_a_message &&
+            now - sent_at_ <
+                (budget < scarce_budget ? collect_when_scarce : collect_for);
         // A message of one exception for each bit of budget would spend it on
         // frames.
         const std::uint64_t worthwhile =
