--- a/catkinkeel/daemon/daemon.cpp
+++ b/catkinkeel/daemon/daemon.cpp
@@ -23,6 +23,9 @@
 /// Packets that the fabric still sends to a leaving VM are relayed for this
 /// long after the last one.
 constexpr duration quiet_before_exit = 2s;
+/// A shutdown in which no bucket was handed over for this long ends: nobody who
+/// is left claims them. A handover message takes 8 s of budget at most.
+constexpr duration handover_stall_limit = 15s;
 constexpr std::size_t list_ring_size = 4;
 constexpr std::size_t chunk_ring_size = 1024;
 constexpr std::size_t report_ring_size = 1024;
@@ -287,17 +290,31 @@
     const instant start = steady_now();
     bounded_ring<done> sleep(1);
     bool finished = false;
+    std::uint32_t held = begun->buckets.held;
+    instant progress = start;
     while (!finished &&
-           steady_now() - start < duration(self.settings.shutdown_time_limit))
+           steady_now() - start < duration(self.settings.shutdown_time_limit) &&
+           steady_now() - progress < handover_stall_limit)
     {
         sleep.pop_for(clock_period);
+        const auto shown = self.board->decide.get();
+        if (shown->buckets.held != held)
+        {
+            held = shown->buckets.held;
+            progress = steady_now();
+        }
         const instant last_packet{duration(self.board->last_packet_at.load())};
         // The snapshot is a second old at most; by then the view shows that
         // this VM has left.
-        const bool handed_over = self.board->decide.get()->buckets.held == 0 ||
-                                 !somebody_takes_over(*self.board->view.get());
+        const bool handed_over =
+            held == 0 || !somebody_takes_over(*self.board->view.get());
         finished = handed_over && steady_now() - start > quiet_before_exit &&
                    steady_now() - last_packet > quiet_before_exit;
+        if (held == 0)
+        {
+            // Only late packets remain.
+            progress = steady_now();
+        }
     }
     const auto seconds =
         std::chrono::duration_cast<std::chrono::seconds>(steady_now() - start)
