Close a transport without waiting on nng for ever

Cause: about 1 of 40 runs of the link tests still hung: gdb shows nng_close of the listening socket and one of nng's timer threads waiting for each other (nng 1.5.2). The receive thread now waits in poll, not in nng, and all sockets close on a thread that is waited for up to 2 s. Ruled out: the transport's mutex (not held any more in the second trace).

--- a/catkinkeel/link/transport.cpp
+++ b/catkinkeel/link/transport.cpp
@@ -5,6 +5,8 @@
 #include <sodium.h>
 
 #include <algorithm>
+#include <future>
+#include <poll.h>
 #include <string>
 #include <utility>
 
@@ -38,19 +40,28 @@
     return value;
 }
 
+/// How long a closing transport waits for its receive thread at most.
+constexpr int stop_check_ms = 200;
+/// How long it waits for its sockets to be closed.
+constexpr duration longest_close = 2s;
+
 /// Closes sockets on a thread of their own that nobody waits for: nng_close of
-/// nng 1.5.2 was seen to wait for ever on a dialing socket whose peer closes.
-void close_in_background(std::vector<nng_socket> sockets)
+/// nng 1.5.2 was seen to wait for ever, one of nng's timer threads with it.
+std::future<void> close_in_background(std::vector<nng_socket> sockets)
 {
+    std::promise<void> closed;
+    std::future<void> done = closed.get_future();
     std::thread(
-        [closing = std::move(sockets)]
+        [closing = std::move(sockets), finished = std::move(closed)]() mutable
         {
             for (const nng_socket each : closing)
             {
                 nng_close(each);
             }
+            finished.set_value();
         })
         .detach();
+    return done;
 }
 
 } // namespace
@@ -103,6 +114,10 @@
     {
         error = nng_listener_start(listener, 0);
     }
+    if (error == 0)
+    {
+        error = nng_socket_get_int(pull_, NNG_OPT_RECVFD, &receivable_);
+    }
     int port = settings_.listen.port;
     if (error == 0)
     {
@@ -120,6 +135,7 @@
 
 void transport::close()
 {
+    stopping_ = true;
     {
         const std::lock_guard lock(mutex_);
         if (closed_)
@@ -127,20 +143,23 @@
             return;
         }
         closed_ = true;
+    }
+    if (receiver_.joinable())
+    {
+        receiver_.join();
+    }
+    {
+        const std::lock_guard lock(mutex_);
         std::vector<nng_socket> sockets;
         for (const auto& [id, line] : lines_)
         {
             sockets.push_back(line.socket);
         }
-        close_in_background(std::move(sockets));
+        sockets.push_back(pull_);
+        // So that the address can be bound again, in all but the rare case.
+        close_in_background(std::move(sockets)).wait_for(longest_close);
         lines_.clear();
     }
-    // Ends the receive thread's wait.
-    nng_close(pull_);
-    if (receiver_.joinable())
-    {
-        receiver_.join();
-    }
     inbox_->close();
 }
 
@@ -293,15 +312,18 @@
 
 void transport::receive()
 {
-    for (;;)
+    // Waits in the kernel and not in nng, whose close does not always wake a
+    // waiting receive (see `close_in_background`).
+    pollfd waiting{receivable_, POLLIN, 0};
+    while (!stopping_)
     {
-        nng_msg* received = nullptr;
-        const int error = nng_recvmsg(pull_, &received, 0);
-        if (error == NNG_ECLOSED)
+        if (poll(&waiting, 1, stop_check_ms) <= 0)
         {
-            return;
+            continue;
         }
-        if (error == 0)
+        nng_msg* received = nullptr;
+        while (!stopping_ &&
+               nng_recvmsg(pull_, &received, NNG_FLAG_NONBLOCK) == 0)
         {
             accept({static_cast<const std::uint8_t*>(nng_msg_body(received)),
                     nng_msg_len(received)});
--- a/catkinkeel/link/transport.hpp
+++ b/catkinkeel/link/transport.hpp
@@ -19,6 +19,7 @@
 
 #include <nng/nng.h>
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -145,6 +146,9 @@
     inbox_ptr inbox_;
     nng_socket pull_ = NNG_SOCKET_INITIALIZER;
     endpoint listening_;
+    /// Readable while the listening socket has a message.
+    int receivable_ = -1;
+    std::atomic<bool> stopping_{false};
     std::thread receiver_;
 
     mutable std::mutex mutex_;
