--- a/catkinkeel/packet/reader.hpp
+++ b/catkinkeel/packet/reader.hpp
@@ -17,7 +17,8 @@
 {
 
 /// One packet and what the decision needs to know of it. `packet` is the inner
-/// IPv4 packet, cut to its total length, inside the payload that was read.
+/// IPv4 packet, cut to its total length, inside the payload that was read; it
+/// is valid while that payload is.
 struct parsed_packet
 {
     packet_facts facts;
--- a/catkinkeel/packet/refusal.cpp
+++ b/catkinkeel/packet/refusal.cpp
@@ -2,6 +2,7 @@
 
 #include "catkinkeel/packet/internal/wire.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cstdint>
 #include <netinet/ip.h>
--- a/catkinkeel/packet/refusal.hpp
+++ b/catkinkeel/packet/refusal.hpp
@@ -4,7 +4,6 @@
 
 #include "catkinkeel/packet/reader.hpp"
 
-#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <optional>
@@ -39,7 +38,8 @@
 /// TCP RST+ACK that answers a SYN (RFC 9293, section 3.10.7.1), or ICMP
 /// destination unreachable, administratively prohibited (type 3, code 13), that
 /// quotes a UDP datagram. Empty for every other phase: no other packet opens a
-/// flow, and an ICMP error is never answered.
+/// flow, and an ICMP error is never answered. `parsed` must be a result of
+/// `read_datagram`, which has verified the lengths used here.
 std::optional<refusal_packet> refuse_packet(const parsed_packet& parsed);
 
 } // namespace catkinkeel
--- a/catkinkeel/packet/socket_test.cpp
+++ b/catkinkeel/packet/socket_test.cpp
@@ -66,7 +66,8 @@
     const auto socket = open_socket();
     std::jthread stopper([socket] { socket->stop(); });
     packet_batch batch;
-    CHECK(socket->receive(batch, long_wait) == receive_status::stopped);
+    // The longest timeout must not overflow the computed end of the wait.
+    CHECK(socket->receive(batch, duration::max()) == receive_status::stopped);
     CHECK(socket->receive(batch, long_wait) == receive_status::stopped);
 }
 
--- a/catkinkeel/packet/udp_socket.cpp
+++ b/catkinkeel/packet/udp_socket.cpp
@@ -138,7 +138,7 @@
 
 receive_status udp_socket::receive(packet_batch& batch, duration timeout)
 {
-    const auto deadline = clock::now() + timeout;
+    const auto start = clock::now();
     for (;;)
     {
         if (stopped_.load(std::memory_order_acquire))
@@ -150,7 +150,7 @@
         {
             return receive_status::received;
         }
-        const duration left = deadline - clock::now();
+        const duration left = timeout - (clock::now() - start);
         if (left <= duration::zero())
         {
             return receive_status::timed_out;
