Remove what the read-through found dead or written twice in flow

Cause: on_claim took a time that it did not use, replica_store::held_buckets had no caller, and the tick of flow records stood in two files. The tick stands once now, beside the record that it is the unit of.

--- a/catkinkeel/flow/balancer.cpp
+++ b/catkinkeel/flow/balancer.cpp
@@ -11,7 +11,6 @@
 {
 
 constexpr std::uint8_t hop_limit = 4;
-constexpr duration tick_length = 100ms;
 /// An opening packet repeated within this time is a retransmission.
 constexpr duration opening_retransmission = 60s;
 
@@ -42,7 +41,7 @@
 std::uint32_t balancer::ticks(instant now) const
 {
     return static_cast<std::uint32_t>((now - started_.value_or(now)) /
-                                      tick_length);
+                                      flow_tick);
 }
 
 verdict balancer::decide(const packet_facts& facts, instant now)
@@ -163,7 +162,7 @@
     case flow_state::opened:
     {
         const auto silent_ticks = ticks(now) - record.last_seen;
-        return tick_length * silent_ticks > opening_retransmission;
+        return flow_tick * silent_ticks > opening_retransmission;
     }
     case flow_state::ended:
         return true;
--- a/catkinkeel/flow/balancer.hpp
+++ b/catkinkeel/flow/balancer.hpp
@@ -327,7 +327,7 @@
     // balancer_holdings.cpp and balancer_peers.cpp: holdings and messages
     void on_replicate(vm_id from, const replicate& update);
     void on_replicate_ack(vm_id from, const replicate_ack& ack);
-    void on_claim(vm_id from, const claim& asked, instant now);
+    void on_claim(vm_id from, const claim& asked);
     void on_handover(vm_id from, const handover& offer, instant now);
     void on_handover_ack(vm_id from, const handover_ack& ack);
     void update_map(instant now);
--- a/catkinkeel/flow/balancer_peers.cpp
+++ b/catkinkeel/flow/balancer_peers.cpp
@@ -45,7 +45,7 @@
     }
     else if (const auto* asked = std::get_if<claim>(&content))
     {
-        on_claim(from, *asked, now);
+        on_claim(from, *asked);
     }
     else if (const auto* offer = std::get_if<handover>(&content))
     {
@@ -74,7 +74,7 @@
     }
 }
 
-void balancer::on_claim(vm_id from, const claim& asked, instant now)
+void balancer::on_claim(vm_id from, const claim& asked)
 {
     if (asked.in_effect != context_.set->version() ||
         asked.map_fingerprint != map_.fingerprint())
@@ -97,7 +97,6 @@
     {
         replies_.push_back({from, *last});
     }
-    static_cast<void>(now);
 }
 
 void balancer::mark_not_in_flight(const std::vector<bucket_id>& buckets)
--- a/catkinkeel/flow/balancer_sweep.cpp
+++ b/catkinkeel/flow/balancer_sweep.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 
-constexpr duration tick_length = 100ms;
 /// A sweep of the whole flow table takes this many ticks.
 constexpr std::size_t ticks_per_sweep = 30;
 constexpr duration retired_target_timeout = 1h;
@@ -64,7 +63,7 @@
 
 bool balancer::is_over(const flow_record& record, instant now) const
 {
-    const duration silent = tick_length * (ticks(now) - record.last_seen);
+    const duration silent = flow_tick * (ticks(now) - record.last_seen);
     if (record.state == flow_state::ended && silent > settings_.ended_timeout)
     {
         return true;
--- a/catkinkeel/flow/flow_table.hpp
+++ b/catkinkeel/flow/flow_table.hpp
@@ -4,6 +4,7 @@
 
 #include "catkinkeel/base/flow_key.hpp"
 #include "catkinkeel/base/identifier.hpp"
+#include "catkinkeel/base/time.hpp"
 
 #include <algorithm>
 #include <compare>
@@ -25,7 +26,10 @@
     ended
 };
 
-/// One flow. Times are in ticks of 100 ms since the process started, so that a
+/// Unit of the times in flow records.
+constexpr duration flow_tick = 100ms;
+
+/// One flow. Times are in `flow_tick` since the process started, so that a
 /// record takes 32 bytes.
 struct flow_record
 {
--- a/catkinkeel/flow/replica_store.cpp
+++ b/catkinkeel/flow/replica_store.cpp
@@ -198,14 +198,4 @@
     return count;
 }
 
-std::size_t replica_store::held_buckets() const
-{
-    std::size_t count = 0;
-    for (const auto& [vm, from] : senders_)
-    {
-        count += from.buckets.size();
-    }
-    return count;
-}
-
 } // namespace catkinkeel
--- a/catkinkeel/flow/replica_store.hpp
+++ b/catkinkeel/flow/replica_store.hpp
@@ -54,8 +54,6 @@
 
     /// Exceptions held for all senders together.
     [[nodiscard]] std::size_t exception_count() const;
-    /// Buckets held for all senders together.
-    [[nodiscard]] std::size_t held_buckets() const;
 
 private:
     struct replica
