Admit the load that comes back after an outage as targets can bear it

Cause: after a loss of power the first daemon that was back started 540 flows within 0.3 s at 14 targets of 2 slots; they refused 260 of them (503), which used up the callers' retries. Callers that had given up made 12 of 14 targets look silent, so the rest got everything. 303 opening packets were dropped in the 80 ms before the first view. Ruled out: the processor share (the daemon was idle again within 0.5 s).

--- a/catkinkeel/edge/edge_test.cpp
+++ b/catkinkeel/edge/edge_test.cpp
@@ -256,6 +256,15 @@
               .find("catkinkeel_flows_opened_total 1") != std::string::npos);
 }
 
+TEST_CASE("packets that come before the first view are served by it")
+{
+    // Guards against dropping what callers send while a daemon starts.
+    running_site site;
+    site.source->say(::site(site.socket->local()));
+    site.send('o');
+    CHECK(site.receive().starts_with("o"));
+}
+
 TEST_CASE("a daemon stays ready and forwards while the store is away")
 {
     running_site site;
--- a/catkinkeel/edge/packet_duty.cpp
+++ b/catkinkeel/edge/packet_duty.cpp
@@ -15,6 +15,11 @@
 constexpr duration flush_after = 500ms;
 constexpr std::size_t flush_at = 64;
 
+/// At the start packets wait in the socket for the first view, which takes
+/// about 50 ms to read. A caller's first copy comes after 200 ms, so packets
+/// that have waited longer are dropped.
+constexpr duration hold_at_start = 150ms;
+
 /// Wait for packets if nothing is to be passed on.
 constexpr duration longest_wait = 1h;
 
@@ -127,6 +132,10 @@
 void packet_duty::run()
 {
     packet_batch batch;
+    if (!await_view(batch))
+    {
+        return;
+    }
     for (;;)
     {
         const duration wait = journal_.empty() ? longest_wait : flush_after;
@@ -151,6 +160,35 @@
     }
 }
 
+bool packet_duty::await_view(packet_batch& batch)
+{
+    while (steerer_.view() == nullptr)
+    {
+        if (auto view = views_->pop_for(hold_at_start))
+        {
+            steerer_.adopt(std::move(*view));
+            break;
+        }
+        // Callers have sent copies of what waited so long.
+        receive_status status = receive_status::received;
+        while (status == receive_status::received)
+        {
+            status = socket_->receive(batch, duration::zero());
+            now_ = boot_now();
+            if (status == receive_status::received)
+            {
+                handle(batch);
+            }
+        }
+        journal_.flush_if_due(now_);
+        if (status == receive_status::stopped)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 void packet_duty::adopt_views()
 {
     while (auto view = views_->try_pop())
@@ -172,7 +210,9 @@
         handle(datagram);
     }
     socket_->send(to_send_);
-    metrics_->batch_seconds.Observe(seconds_of(boot_now() - now_));
+    const instant sent = boot_now();
+    steerer_.mark_sent(sent);
+    metrics_->batch_seconds.Observe(seconds_of(sent - now_));
 }
 
 void packet_duty::handle(const received_datagram& datagram)
--- a/catkinkeel/edge/packet_duty.hpp
+++ b/catkinkeel/edge/packet_duty.hpp
@@ -72,6 +72,8 @@
 
 private:
     void run();
+    /// Returns false if the duty is to end.
+    bool await_view(packet_batch& batch);
     void handle(const packet_batch& batch);
     void handle(const received_datagram& datagram);
     void act(const steering::forward& to, const steering::flow_packet& packet,
--- a/catkinkeel/steering/flow_tracker.hpp
+++ b/catkinkeel/steering/flow_tracker.hpp
@@ -31,6 +31,8 @@
 {
     target_id target;
     flow_stage stage = flow_stage::opening;
+    /// Whether the flow counts as load of `target`.
+    bool counted = false;
     /// Targets that got an opening packet of the flow before `target`.
     std::vector<target_id> tried;
     instant opened;
--- a/catkinkeel/steering/selection.cpp
+++ b/catkinkeel/steering/selection.cpp
@@ -1,6 +1,7 @@
 #include "catkinkeel/steering/selection.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace catkinkeel::steering
 {
@@ -39,23 +40,20 @@
     return one.trust == target_trust::on_trial ? 1 : 0;
 }
 
+double avoidance_of(const candidate& one)
+{
+    return one.trust == target_trust::avoided ? 1 : 0;
+}
+
 constexpr std::array terms{
     cost_term{"load", &selection_weights::load, &load_of},
     cost_term{"distance", &selection_weights::distance, &distance_of},
     cost_term{"coldness", &selection_weights::coldness, &coldness_of},
     cost_term{"slowness", &selection_weights::slowness, &slowness_of},
+    cost_term{"avoidance", &selection_weights::avoidance, &avoidance_of},
     cost_term{"trial", &selection_weights::trial, &trial_of},
 };
 
-int tier_of(const candidate& one)
-{
-    if (one.trust == target_trust::avoided)
-    {
-        return 2;
-    }
-    return one.cold_limited ? 1 : 0;
-}
-
 } // namespace
 
 std::span<const cost_term> cost_terms()
@@ -78,23 +76,19 @@
                           random_source& random) const
 {
     std::optional<std::size_t> best;
-    double best_cost = 0;
-    int best_tier = 0;
+    std::pair<bool, double> best_rank;
     std::uint64_t equals = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i)
     {
-        const int tier = tier_of(candidates[i]);
-        const double cost = cost_of(candidates[i]);
-        if (!best || tier < best_tier ||
-            (tier == best_tier && cost < best_cost))
+        const std::pair rank(candidates[i].cold_limited,
+                             cost_of(candidates[i]));
+        if (!best || rank < best_rank)
         {
             best = i;
-            best_cost = cost;
-            best_tier = tier;
+            best_rank = rank;
             equals = 1;
         }
-        else if (tier == best_tier && cost == best_cost &&
-                 random.below(++equals) == 0)
+        else if (rank == best_rank && random.below(++equals) == 0)
         {
             best = i;
         }
--- a/catkinkeel/steering/selection.hpp
+++ b/catkinkeel/steering/selection.hpp
@@ -46,6 +46,10 @@
     /// A cold target works at about 60 % of its speed.
     double coldness = 0.7;
     double slowness = 0.5;
+    /// An avoided target is taken before others have three times as many flows
+    /// as slots: targets refuse work long before that is noticed as silence,
+    /// and many avoided targets at once mean that the signal is wrong.
+    double avoidance = 3;
     /// A target on trial costs the caller a repeated opening packet if it
     /// still does not answer.
     double trial = 0.25;
@@ -76,10 +80,10 @@
            random_source& random) const = 0;
 };
 
-/// The cheapest candidate by the sum of `cost_terms`, a random one of equals.
-/// Avoided targets are taken only if there is no other, and cold ones with a
-/// stated limit only before avoided ones, so that a service is never refused
-/// because all of its targets are doubted together.
+/// The cheapest candidate by the sum of `cost_terms`, a random one of equals. A
+/// cold target with a stated limit is taken only if there is no other. No
+/// candidate is excluded, so that a service is never refused because all of its
+/// targets are doubted together.
 class least_cost_policy : public selection_policy
 {
 public:
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -47,15 +47,15 @@
 
 std::string_view to_string(refusal_reason reason)
 {
-    constexpr std::array<std::string_view, 3> names{
-        "no_reference", "reference_removed", "no_target"};
+    constexpr std::array<std::string_view, 4> names{
+        "no_reference", "reference_removed", "no_target", "overloaded"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
 std::string_view to_string(discard_reason reason)
 {
-    constexpr std::array<std::string_view, 3> names{
-        "no_view", "unknown_reference", "unknown_token"};
+    constexpr std::array<std::string_view, 4> names{
+        "no_view", "unknown_reference", "unknown_token", "overloaded"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -126,7 +126,8 @@
     const tracked_flow* before = flows_.find(packet.key);
     const bool same_target =
         before != nullptr &&
-        (before->stage == flow_stage::established || packet.copy == 0);
+        (before->stage == flow_stage::established || packet.copy == 0 ||
+         now - before->last_opening < observer_.settings().answer_limit);
     if (same_target)
     {
         // A duplicate. Another target would answer it as a second flow.
@@ -150,6 +151,15 @@
         return {.what = refuse{refusal_reason::no_target}};
     }
     const candidate& chosen = candidates[*position];
+    const admission verdict = admit(settings_.admission, packet.copy, chosen);
+    if (verdict == admission::wait)
+    {
+        return {.what = discard{discard_reason::overloaded}};
+    }
+    if (verdict == admission::refuse)
+    {
+        return {.what = refuse{refusal_reason::overloaded}};
+    }
     const view_target& target = view_->parts().targets[chosen.index];
     record_opening(packet, target, now);
     const auto avoided = std::ranges::count(candidates, target_trust::avoided,
@@ -239,7 +249,7 @@
     tracked_flow* flow = flows_.find(packet.key);
     if (flow != nullptr)
     {
-        observer_.flow_ended(flow->target);
+        stop_counting(*flow);
         flow->tried.push_back(flow->target);
         flow->target = target.id;
         flow->last_opening = now;
@@ -252,8 +262,9 @@
     }
     if (flow != nullptr)
     {
-        observer_.flow_opened(target, now);
-        flows_.expect_answer({packet.key, target.id, now});
+        start_counting(*flow);
+        observer_.opening_sent(target, now);
+        unsent_.push_back({packet.key, target.id, now});
     }
 }
 
@@ -285,21 +296,20 @@
     if (flow->target != target.id)
     {
         // An earlier copy of the opening packet was answered after all.
-        observer_.flow_ended(flow->target);
-        observer_.flow_opened(target, now);
-        observer_.opening_settled(target.id);
+        stop_counting(*flow);
         flow->target = target.id;
     }
+    start_counting(*flow);
     flow->stage = flow_stage::established;
     flow->established = now;
     result.handshake_took = now - flow->last_opening;
-    observer_.answered(target);
+    observer_.answered(target, now);
 }
 
 void steerer::note_end(const flow_packet& packet, instant now,
                        steering_result& result)
 {
-    const tracked_flow* flow = flows_.find(packet.key);
+    tracked_flow* flow = flows_.find(packet.key);
     if (flow == nullptr)
     {
         return;
@@ -309,10 +319,20 @@
         result.exchange_took = now - flow->established;
         observer_.exchange_finished(flow->target, *result.exchange_took);
     }
-    observer_.flow_ended(flow->target);
+    stop_counting(*flow);
     flows_.erase(packet.key);
 }
 
+void steerer::mark_sent(instant now)
+{
+    for (pending_opening& opening : unsent_)
+    {
+        opening.sent = now;
+        flows_.expect_answer(opening);
+    }
+    unsent_.clear();
+}
+
 std::vector<silence_noticed> steerer::settle(instant drained)
 {
     std::vector<silence_noticed> noticed;
@@ -320,24 +340,44 @@
     for (const pending_opening& opening : flows_.take_openings_until(limit))
     {
         observer_.opening_settled(opening.target);
-        const tracked_flow* flow = flows_.find(opening.key);
-        const view_target* target =
-            view_ ? view_->find_target(opening.target) : nullptr;
-        const bool silent = flow != nullptr && target != nullptr &&
-                            flow->stage == flow_stage::opening &&
-                            flow->target == opening.target;
-        if (silent)
+        tracked_flow* flow = flows_.find(opening.key);
+        if (flow == nullptr || flow->stage != flow_stage::opening ||
+            flow->target != opening.target)
+        {
+            continue;
+        }
+        // Nothing came of it, so the target has no work with it.
+        stop_counting(*flow);
+        const view_target* target = view_->find_target(opening.target);
+        if (target != nullptr && observer_.unanswered(*target, opening.sent, drained))
         {
-            observer_.unanswered(*target, drained);
             noticed.push_back({opening.key, opening.target,
                                observer_.load_of(opening.target).failures});
         }
     }
-    for (const tracked_flow& old : flows_.take_expired(drained))
+    for (tracked_flow& old : flows_.take_expired(drained))
     {
-        observer_.flow_ended(old.target);
+        stop_counting(old);
     }
     return noticed;
 }
 
+void steerer::start_counting(tracked_flow& flow)
+{
+    if (!flow.counted)
+    {
+        observer_.flow_started(flow.target);
+        flow.counted = true;
+    }
+}
+
+void steerer::stop_counting(tracked_flow& flow)
+{
+    if (flow.counted)
+    {
+        observer_.flow_ended(flow.target);
+        flow.counted = false;
+    }
+}
+
 } // namespace catkinkeel::steering
--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -8,11 +8,13 @@
 //   packets.adopt(view);
 //   const steering_result result = packets.decide(packet, now);
 //   if (const auto* to = std::get_if<forward>(&result.what)) { send(*to); }
+//   packets.mark_sent(later);
 //   packets.settle(now);  // after all packets that have arrived were decided
 
 #include "catkinkeel/base/flow_key.hpp"
 #include "catkinkeel/base/random.hpp"
 #include "catkinkeel/base/time.hpp"
+#include "catkinkeel/steering/admission.hpp"
 #include "catkinkeel/steering/flow_tracker.hpp"
 #include "catkinkeel/steering/selection.hpp"
 #include "catkinkeel/steering/target_observer.hpp"
@@ -67,7 +69,10 @@
     /// The reference was removed by the terms in effect.
     reference_removed,
     /// The service has no target that takes new flows.
-    no_target
+    no_target,
+    /// Every target has more work than fits into the time of a request, and
+    /// the caller will not repeat this opening packet.
+    overloaded
 };
 
 /// Tell the caller at once that its flow is not served. Only for packets whose
@@ -86,7 +91,10 @@
     /// The view may be too old to know the reference.
     unknown_reference,
     /// The token names no target that the reference permits.
-    unknown_token
+    unknown_token,
+    /// Every target has more work than fits into the time of a request. The
+    /// caller repeats its opening packet later.
+    overloaded
 };
 
 /// Drop the packet. The caller repeats it, and a later view may know better.
@@ -147,6 +155,7 @@
     /// A view that the store confirmed so long ago may miss references.
     duration fresh_for = 3s;
     observer_settings observer;
+    admission_limits admission;
     tracker_settings tracker;
 
     friend auto operator<=>(const steerer_settings&,
@@ -176,6 +185,10 @@
 
     steering_result decide(const flow_packet& packet, instant now);
 
+    /// The packets decided so far have been sent. A busy daemon sends a batch
+    /// much later than it received it.
+    void mark_sent(instant now);
+
     /// Judges opening packets that stayed without an answer and forgets old
     /// flows. Call it when every packet that arrived before `drained` has been
     /// decided; packets that still wait unread would pass for silence.
@@ -209,6 +222,8 @@
     [[nodiscard]] std::vector<candidate>
     candidates_for(service_id service, const tracked_flow* before, instant now);
     [[nodiscard]] bool is_fresh(instant now) const;
+    void start_counting(tracked_flow& flow);
+    void stop_counting(tracked_flow& flow);
 
     steerer_settings settings_;
     std::shared_ptr<const selection_policy> policy_;
@@ -217,6 +232,7 @@
     std::optional<data_centre_id> own_data_centre_;
     target_observer observer_;
     flow_tracker flows_;
+    std::vector<pending_opening> unsent_;
 };
 
 } // namespace catkinkeel::steering
--- a/catkinkeel/steering/target_observer.cpp
+++ b/catkinkeel/steering/target_observer.cpp
@@ -40,11 +40,14 @@
                   { return view.find_target(each.first) == nullptr; });
 }
 
-void target_observer::flow_opened(const view_target& target, instant now)
+void target_observer::flow_started(target_id target)
 {
-    target_load& load = loads_[target.id];
-    ++load.in_flight;
-    ++load.unanswered;
+    ++loads_[target].in_flight;
+}
+
+void target_observer::opening_sent(const view_target& target, instant now)
+{
+    ++loads_[target.id].unanswered;
     const auto place = data_centres_.find(target.data_centre);
     if (place != data_centres_.end() && is_lost(place->second))
     {
@@ -72,17 +75,23 @@
     }
 }
 
-void target_observer::answered(const view_target& target)
+void target_observer::answered(const view_target& target, instant now)
 {
     target_load& load = loads_[target.id];
+    load.answered_at = now;
     load.failures = 0;
     load.avoid_until = {};
     data_centres_[target.data_centre] = {};
 }
 
-void target_observer::unanswered(const view_target& target, instant now)
+bool target_observer::unanswered(const view_target& target, instant sent,
+                                 instant now)
 {
     target_load& load = loads_[target.id];
+    if (load.answered_at && *load.answered_at >= sent)
+    {
+        return false;
+    }
     load.avoid_until = now + doubled(settings_.avoid_first, load.failures,
                                      settings_.avoid_at_most);
     ++load.failures;
@@ -101,6 +110,7 @@
                                           settings_.reach_at_most);
         ++place.rounds;
     }
+    return true;
 }
 
 void target_observer::exchange_finished(target_id target, duration took)
--- a/catkinkeel/steering/target_observer.hpp
+++ b/catkinkeel/steering/target_observer.hpp
@@ -59,6 +59,8 @@
     std::uint32_t unanswered = 0;
     /// Opening packets that stayed without an answer since the last answer.
     std::uint32_t failures = 0;
+    /// When a caller last followed up an answer of the target.
+    std::optional<instant> answered_at;
     instant failed_at;
     instant avoid_until;
     /// Announcement that was known at the last failure.
@@ -87,12 +89,16 @@
     void keep_only(const steering_view& view);
 
     /// An opening packet is sent to `target`.
-    void flow_opened(const view_target& target, instant now);
+    void opening_sent(const view_target& target, instant now);
+    /// A flow counts as load of its target from the first opening packet on.
+    void flow_started(target_id target);
     void flow_ended(target_id target);
     /// The caller followed up the target's answer to an opening packet.
-    void answered(const view_target& target);
-    /// `answer_limit` passed without an answer to an opening packet.
-    void unanswered(const view_target& target, instant now);
+    void answered(const view_target& target, instant now);
+    /// `answer_limit` passed without an answer to the opening packet sent at
+    /// `sent`. Returns whether that counts against the target: a target that
+    /// has answered anybody since then lives, and the caller has given up.
+    bool unanswered(const view_target& target, instant sent, instant now);
     /// An opening packet is not awaited any more, answered or not.
     void opening_settled(target_id target);
     void exchange_finished(target_id target, duration took);
