Follow cheap replicas, and let one confirming read serve all daemons

A read that any replica may answer costs a tenth, but its answers can be seconds old.

Change: daemons follow replicas with waiting reads. Once in 0.45 of the shortest bound the first of them (by a hash of addresses) reads the newest state and tells the others in small notices, which revision that was; whoever is behind, or hears nothing for 0.6 of the bound, reads the newest state itself. Notices carry no terms and no targets, so a forged one costs reads at most.

--- a/catkinkeel/edge/edge_daemon.cpp
+++ b/catkinkeel/edge/edge_daemon.cpp
@@ -49,6 +49,11 @@
     {
         return socket.error();
     }
+    auto notices = udp_socket::open(settings.peers.notices);
+    if (!notices)
+    {
+        return notices.error();
+    }
     auto server = http_server::open({.readiness = settings.readiness,
                                      .readiness_path = settings.readiness_path,
                                      .metrics = settings.metrics},
@@ -59,9 +64,13 @@
     }
     daemon->server_ = std::move(server).value();
     // The read takes longest, so it is under way while the rest starts.
+    const auto news = std::make_shared<peer_news_ring>(peer_ring_size);
+    const auto confirmed = std::make_shared<confirmation_ring>(peer_ring_size);
     daemon->reading_ = std::make_unique<reading_duty>(
-        settings.reading, std::move(source), daemon->readings_, events,
-        daemon->metrics_);
+        settings.reading, std::move(source), daemon->readings_, news, confirmed,
+        notices.value(), events, daemon->metrics_);
+    daemon->peers_ = std::make_unique<peers_duty>(
+        settings, notices.value(), confirmed, news, daemon->metrics_);
     daemon->catalog_ = std::make_unique<catalog_duty>(
         settings.catalog, daemon->readings_, daemon->views_, daemon->ready_,
         events, daemon->metrics_);
@@ -79,6 +88,7 @@
         readings_->close();
     }
     reading_.reset();
+    peers_.reset();
     catalog_.reset();
     packets_.reset();
 }
--- a/catkinkeel/edge/edge_daemon.hpp
+++ b/catkinkeel/edge/edge_daemon.hpp
@@ -2,7 +2,7 @@
 
 // An edge daemon: the duties that steer flows by their token, joined by rings.
 //
-//   reading -> catalogue -> packets -> log
+//   peers <-> reading -> catalogue -> packets -> log
 //
 // Example:
 //   auto daemon = edge_daemon::start(settings, source, codec, events);
@@ -18,6 +18,7 @@
 #include "catkinkeel/edge/metadata_source.hpp"
 #include "catkinkeel/edge/packet_codec.hpp"
 #include "catkinkeel/edge/packet_duty.hpp"
+#include "catkinkeel/edge/peers_duty.hpp"
 #include "catkinkeel/edge/reading_duty.hpp"
 
 #include <memory>
@@ -59,6 +60,7 @@
     std::shared_ptr<http_server> server_;
     std::unique_ptr<packet_duty> packets_;
     std::unique_ptr<catalog_duty> catalog_;
+    std::unique_ptr<peers_duty> peers_;
     std::unique_ptr<reading_duty> reading_;
 };
 
--- a/catkinkeel/edge/edge_metrics.cpp
+++ b/catkinkeel/edge/edge_metrics.cpp
@@ -87,6 +87,16 @@
                           "Reads of the metadata store")),
       store_reads_failed(counter(*registry_, "store_reads_failed_total",
                                  "Reads of the metadata store that failed")),
+      store_reads_confirming(
+          counter(*registry_, "store_reads_confirming_total",
+                  "Reads of the metadata store's newest state")),
+      notices_sent(
+          counter(*registry_, "notices_sent_total", "Notices sent to peers")),
+      notices_received(counter(*registry_, "notices_received_total",
+                               "Notices received from peers")),
+      notices_rejected(counter(*registry_, "notices_rejected_total",
+                               "Datagrams of peers that are no notice")),
+      peers(gauge(*registry_, "peers", "Other daemons known")),
       ready(gauge(*registry_, "ready", "1 if the daemon takes new packets")),
       terms_version(
           gauge(*registry_, "terms_version", "Version of the terms in effect")),
--- a/catkinkeel/edge/edge_metrics.hpp
+++ b/catkinkeel/edge/edge_metrics.hpp
@@ -44,6 +44,11 @@
     prometheus::Counter& flow_lines_dropped;
     prometheus::Counter& store_reads;
     prometheus::Counter& store_reads_failed;
+    prometheus::Counter& store_reads_confirming;
+    prometheus::Counter& notices_sent;
+    prometheus::Counter& notices_received;
+    prometheus::Counter& notices_rejected;
+    prometheus::Gauge& peers;
     prometheus::Gauge& ready;
     prometheus::Gauge& terms_version;
     prometheus::Gauge& targets_open;
--- a/catkinkeel/edge/edge_settings.hpp
+++ b/catkinkeel/edge/edge_settings.hpp
@@ -5,6 +5,8 @@
 
 #include "catkinkeel/base/address.hpp"
 #include "catkinkeel/base/time.hpp"
+#include "catkinkeel/edge/freshness.hpp"
+#include "catkinkeel/edge/peer_table.hpp"
 #include "catkinkeel/event/catalogue.hpp"
 #include "catkinkeel/event/record.hpp"
 #include "catkinkeel/steering/catalog.hpp"
@@ -22,10 +24,10 @@
 /// When the metadata store is read.
 struct reading_settings
 {
-    /// From the start of one read of changes to the next.
-    duration interval = 1200ms;
-    /// How long a read waits in the store for the first change.
-    duration wait = 1s;
+    freshness_settings freshness;
+    /// From the start of one read to the next at least. Changes often come in
+    /// groups, and each read has a price.
+    duration pause = 150ms;
     /// Pause after a failed read, doubled up to `retry_at_most`.
     duration retry_first = 100ms;
     duration retry_at_most = 1s;
@@ -34,6 +36,25 @@
                             const reading_settings&) = default;
 };
 
+/// How daemons find and hear each other.
+struct peer_settings
+{
+    /// UDP, this daemon's address for notices.
+    endpoint notices;
+    /// Addresses for notices of some daemons; they may be stale.
+    std::vector<endpoint> seeds;
+    /// From one notice without an occasion to the next.
+    duration notice_period = 1s;
+    /// From one question to the seeds to the next, without any peer and with
+    /// some.
+    duration hello_alone = 1s;
+    duration hello_period = 15s;
+    peer_table_settings table;
+
+    friend auto operator<=>(const peer_settings&,
+                            const peer_settings&) = default;
+};
+
 /// How a daemon leaves on request.
 struct departure_settings
 {
@@ -62,6 +83,7 @@
     endpoint metrics;
 
     reading_settings reading;
+    peer_settings peers;
     departure_settings departure;
     steering::catalog_settings catalog;
     steering::steerer_settings steering;
--- a/catkinkeel/edge/metadata_source.hpp
+++ b/catkinkeel/edge/metadata_source.hpp
@@ -32,6 +32,15 @@
 using metadata_result =
     std::variant<steering::metadata_update, history_lost, source_failure>;
 
+/// Which answers a read may get.
+enum class read_consistency : std::uint8_t
+{
+    /// Everything that was acknowledged before the read.
+    newest,
+    /// What a replica knows, which may be seconds old. It costs a fraction.
+    any_replica
+};
+
 /// One call at a time, but `stop` may be called by any thread.
 class metadata_source
 {
@@ -39,11 +48,11 @@
     virtual ~metadata_source() = default;
 
     /// Everything that the store holds.
-    virtual metadata_result read_all() = 0;
+    virtual metadata_result read_all(read_consistency consistency) = 0;
 
     /// The changes after `revision`; waits up to `wait` for the first one.
-    virtual metadata_result read_changes(std::uint64_t revision,
-                                         duration wait) = 0;
+    virtual metadata_result read_changes(std::uint64_t revision, duration wait,
+                                         read_consistency consistency) = 0;
 
     /// For log lines.
     [[nodiscard]] virtual std::string name() const = 0;
--- a/catkinkeel/edge/reading_duty.cpp
+++ b/catkinkeel/edge/reading_duty.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
+#include <string>
 
 namespace catkinkeel::edge
 {
@@ -29,16 +31,48 @@
                     settings.retry_at_most);
 }
 
+steering::metadata_update merge(steering::metadata_update first,
+                                const steering::metadata_update& later)
+{
+    std::set<std::string> withdrawn;
+    for (const steering::metadata_change& change : later.changes)
+    {
+        if (const auto* gone = std::get_if<steering::target_withdrawn>(&change))
+        {
+            withdrawn.insert(gone->name);
+        }
+    }
+    std::erase_if(first.changes,
+                  [&](const steering::metadata_change& change)
+                  {
+                      const auto* announced =
+                          std::get_if<steering::target_announced>(&change);
+                      return announced != nullptr &&
+                             withdrawn.contains(announced->target.name);
+                  });
+    first.revision = std::max(first.revision, later.revision);
+    first.changes.insert(first.changes.end(), later.changes.begin(),
+                         later.changes.end());
+    return first;
+}
+
 reading_duty::reading_duty(reading_settings settings,
                            std::shared_ptr<metadata_source> source,
                            std::shared_ptr<reading_ring> out,
+                           std::shared_ptr<peer_news_ring> news,
+                           std::shared_ptr<confirmation_ring> confirmed,
+                           std::shared_ptr<udp_socket> peers,
                            std::shared_ptr<event_channel> events,
                            std::shared_ptr<edge_metrics> metrics)
     : settings_(settings),
       source_(std::move(source)),
       out_(std::move(out)),
+      news_(std::move(news)),
+      confirmed_(std::move(confirmed)),
+      peers_(std::move(peers)),
       events_(std::move(events)),
       metrics_(std::move(metrics)),
+      freshness_(settings_.freshness),
       thread_([this] { run(); })
 {
 }
@@ -59,9 +93,10 @@
     for (;;)
     {
         const instant started = steady_now();
+        take_news();
         metadata_result result = read_once();
         std::visit([&](auto& each) { take(std::move(each)); }, result);
-        instant next = started + settings_.interval;
+        instant next = started + settings_.pause;
         if (failures_ > 0)
         {
             next = steady_now() + retry_delay(settings_, failures_);
@@ -77,14 +112,98 @@
     }
 }
 
+void reading_duty::take_news()
+{
+    while (const auto news = news_->try_pop())
+    {
+        rank_ = news->rank;
+        if (news->confirmed)
+        {
+            freshness_.note(*news->confirmed, boot_now());
+        }
+    }
+}
+
 metadata_result reading_duty::read_once()
 {
-    const instant started = steady_now();
-    metadata_result result =
-        revision_ == 0 ? source_->read_all()
-                       : source_->read_changes(revision_, settings_.wait);
+    return revision_ == 0 ? read_everything() : read_news();
+}
+
+metadata_result reading_duty::read_everything()
+{
+    metadata_result all =
+        call(read_consistency::any_replica, &reading_duty::read_all);
+    auto* update = std::get_if<steering::metadata_update>(&all);
+    if (update == nullptr)
+    {
+        return all;
+    }
+    // A replica may be seconds behind; the newest changes complete it.
+    revision_ = update->revision;
+    const metadata_result news =
+        call(read_consistency::newest, &reading_duty::read_changes);
+    revision_ = 0;
+    if (const auto* later = std::get_if<steering::metadata_update>(&news))
+    {
+        return merge(std::move(*update), *later);
+    }
+    if (std::holds_alternative<source_failure>(news))
+    {
+        return all;
+    }
+    return call(read_consistency::newest, &reading_duty::read_all);
+}
+
+metadata_result reading_duty::read_news()
+{
+    const read_choice choice = freshness_.choose(revision_, rank_, boot_now());
+    // After a failure only the newest state tells what was missed.
+    if (!choice.confirm && failures_ == 0)
+    {
+        metadata_result followed =
+            call(read_consistency::any_replica, &reading_duty::read_changes,
+                 choice.wait);
+        if (!std::holds_alternative<source_failure>(followed))
+        {
+            return followed;
+        }
+    }
+    return call(read_consistency::newest, &reading_duty::read_changes);
+}
+
+metadata_result reading_duty::read_all(read_consistency consistency,
+                                       duration /*wait*/)
+{
+    return source_->read_all(consistency);
+}
+
+metadata_result reading_duty::read_changes(read_consistency consistency,
+                                           duration wait)
+{
+    return source_->read_changes(revision_, wait, consistency);
+}
+
+metadata_result reading_duty::call(
+    read_consistency consistency,
+    metadata_result (reading_duty::*read)(read_consistency, duration),
+    duration wait)
+{
+    const instant started = boot_now();
+    metadata_result result = (this->*read)(consistency, wait);
     metrics_->store_reads.Increment();
-    metrics_->store_read_seconds.Observe(seconds_of(steady_now() - started));
+    metrics_->store_read_seconds.Observe(seconds_of(boot_now() - started));
+    const auto* update = std::get_if<steering::metadata_update>(&result);
+    if (consistency == read_consistency::newest)
+    {
+        metrics_->store_reads_confirming.Increment();
+        if (update != nullptr)
+        {
+            const confirmation confirmed{update->revision, started};
+            freshness_.note(confirmed, started);
+            confirmed_->try_push(confirmed);
+            peers_->wake();
+        }
+    }
     return result;
 }
 
--- a/catkinkeel/edge/reading_duty.hpp
+++ b/catkinkeel/edge/reading_duty.hpp
@@ -6,6 +6,7 @@
 #include "catkinkeel/edge/edge_settings.hpp"
 #include "catkinkeel/edge/event_channel.hpp"
 #include "catkinkeel/edge/metadata_source.hpp"
+#include "catkinkeel/edge/peers_duty.hpp"
 #include "catkinkeel/ring/bounded_ring.hpp"
 
 #include <condition_variable>
@@ -33,6 +34,11 @@
 
 using reading_ring = bounded_ring<reading>;
 
+/// One update with the changes of `later` after those of `first`. Of several
+/// changes of one target the last one counts.
+[[nodiscard]] steering::metadata_update
+merge(steering::metadata_update first, const steering::metadata_update& later);
+
 /// The delay before a failed read is repeated.
 [[nodiscard]] duration retry_delay(const reading_settings& settings,
                                    std::uint32_t failures);
@@ -40,9 +46,13 @@
 class reading_duty
 {
 public:
+    /// What the reads confirm goes to `confirmed`, and `peers` is woken.
     reading_duty(reading_settings settings,
                  std::shared_ptr<metadata_source> source,
                  std::shared_ptr<reading_ring> out,
+                 std::shared_ptr<peer_news_ring> news,
+                 std::shared_ptr<confirmation_ring> confirmed,
+                 std::shared_ptr<udp_socket> peers,
                  std::shared_ptr<event_channel> events,
                  std::shared_ptr<edge_metrics> metrics);
     ~reading_duty();
@@ -52,6 +62,16 @@
 private:
     void run();
     metadata_result read_once();
+    metadata_result read_everything();
+    metadata_result read_news();
+    /// Makes one read; a read of the newest state confirms a revision.
+    metadata_result call(read_consistency consistency,
+                         metadata_result (reading_duty::*read)(read_consistency,
+                                                               duration),
+                         duration wait = {});
+    metadata_result read_all(read_consistency consistency, duration wait);
+    metadata_result read_changes(read_consistency consistency, duration wait);
+    void take_news();
     void take(steering::metadata_update update);
     void take(const history_lost& lost);
     void take(const source_failure& failed);
@@ -61,12 +81,17 @@
     reading_settings settings_;
     std::shared_ptr<metadata_source> source_;
     std::shared_ptr<reading_ring> out_;
+    std::shared_ptr<peer_news_ring> news_;
+    std::shared_ptr<confirmation_ring> confirmed_;
+    std::shared_ptr<udp_socket> peers_;
     std::shared_ptr<event_channel> events_;
     std::shared_ptr<edge_metrics> metrics_;
 
     /// 0 before everything was read.
     std::uint64_t revision_ = 0;
     std::uint32_t failures_ = 0;
+    freshness freshness_;
+    reader_rank rank_;
     instant unreachable_since_;
 
     std::mutex mutex_;
--- a/catkinkeel/packet/udp_socket.cpp
+++ b/catkinkeel/packet/udp_socket.cpp
@@ -65,8 +65,7 @@
 
 outcome<std::shared_ptr<udp_socket>> udp_socket::open(const endpoint& local)
 {
-    const int descriptor =
-        ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    const int descriptor = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
     if (descriptor < 0)
     {
         return system_failure("UDP socket", errno);
@@ -266,8 +265,12 @@
 void udp_socket::stop()
 {
     stopped_.store(true, std::memory_order_release);
-    // An empty datagram wakes the receiver. If it is lost, the receiver ends
-    // after `longest_wait`.
+    // If the datagram is lost, the receiver ends after `longest_wait`.
+    wake();
+}
+
+void udp_socket::wake() const
+{
     const sockaddr_in own = socket_address(local());
     ::sendto(opened_.socket, nullptr, 0, MSG_DONTWAIT,
              reinterpret_cast<const sockaddr*>(&own), sizeof(own));
--- a/catkinkeel/packet/udp_socket.hpp
+++ b/catkinkeel/packet/udp_socket.hpp
@@ -125,6 +125,10 @@
     /// counted and the send is repeated once for each datagram.
     std::size_t send(std::span<const outgoing> datagrams);
 
+    /// Lets a waiting receive return, with an empty datagram in its batch or
+    /// timed out. May be called by any thread.
+    void wake() const;
+
     /// Ends the present and all later receives.
     void stop();
 
--- a/catkinkeel/steering/catalog.cpp
+++ b/catkinkeel/steering/catalog.cpp
@@ -381,7 +381,6 @@
                  data_centre_numbers_.at(said.data_centre))},
              .address = said.address,
              .slots = said.slots,
-             .heartbeat = said.heartbeat,
              .standing = standing_of(known),
              .cold_until = known.cold_until});
     }
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -349,7 +349,8 @@
         // Nothing came of it, so the target has no work with it.
         stop_counting(*flow);
         const view_target* target = view_->find_target(opening.target);
-        if (target != nullptr && observer_.unanswered(*target, opening.sent, drained))
+        if (target != nullptr &&
+            observer_.unanswered(*target, opening.sent, drained))
         {
             noticed.push_back({opening.key, opening.target,
                                observer_.load_of(opening.target).failures});
--- a/catkinkeel/steering/target_observer.cpp
+++ b/catkinkeel/steering/target_observer.cpp
@@ -95,8 +95,6 @@
     load.avoid_until = now + doubled(settings_.avoid_first, load.failures,
                                      settings_.avoid_at_most);
     ++load.failures;
-    load.failed_at = now;
-    load.heartbeat_at_failure = target.heartbeat;
 
     data_centre_state& place = data_centres_[target.data_centre];
     if (place.last_silent != target.id || is_lost(place))
@@ -150,10 +148,7 @@
     {
         return target_trust::trusted;
     }
-    const bool announced_since =
-        target.heartbeat != load.heartbeat_at_failure &&
-        now >= load.failed_at + settings_.avoid_at_least;
-    if (!announced_since && now < load.avoid_until)
+    if (now < load.avoid_until)
     {
         return target_trust::avoided;
     }
--- a/catkinkeel/steering/target_observer.hpp
+++ b/catkinkeel/steering/target_observer.hpp
@@ -22,10 +22,9 @@
     /// not answered. The longest round trip between caller, daemon and target
     /// is 17 ms on the links in use; the rest is for a busy target.
     duration answer_limit = 60ms;
-    /// Shortest time for which a silent target is avoided.
-    duration avoid_at_least = 200ms;
-    /// A silent target without a new announcement is tried again after this
-    /// time, doubled by each further failure, up to `avoid_at_most`.
+    /// A silent target is tried again after this time, doubled by each further
+    /// failure, up to `avoid_at_most`. The announcement of a dead target
+    /// expires after about 4 s.
     duration avoid_first = 2s;
     duration avoid_at_most = 8s;
     /// So many targets of one data centre that do not answer in a row mean that
@@ -61,10 +60,7 @@
     std::uint32_t failures = 0;
     /// When a caller last followed up an answer of the target.
     std::optional<instant> answered_at;
-    instant failed_at;
     instant avoid_until;
-    /// Announcement that was known at the last failure.
-    std::uint64_t heartbeat_at_failure = 0;
     /// Smoothed time from the end of the handshake to the caller's FIN; empty
     /// before the first one.
     std::optional<duration> exchange_time;
--- a/catkinkeel/steering/view.hpp
+++ b/catkinkeel/steering/view.hpp
@@ -50,7 +50,6 @@
     data_centre_id data_centre;
     endpoint address;
     std::uint32_t slots = 1;
-    std::uint64_t heartbeat = 0;
     target_standing standing = target_standing::open;
     /// The target is cold before this moment.
     instant cold_until;
