Learn from another daemon while the metadata store is out of reach

Cause: a daemon that started during an outage of the store served nobody until the store returned, and one that the store turned away kept an old view.

A departing daemon logs its readiness once, and its ended read is no lost dependency.

--- a/catkinkeel/daemon/status_board.hpp
+++ b/catkinkeel/daemon/status_board.hpp
@@ -4,6 +4,7 @@
 // HTTP.
 
 #include "catkinkeel/base/byte_count.hpp"
+#include "catkinkeel/base/shared_value.hpp"
 #include "catkinkeel/flow/balancer.hpp"
 #include "catkinkeel/link/drop.hpp"
 #include "catkinkeel/operators/documents.hpp"
@@ -13,37 +14,12 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <vector>
 
 namespace catkinkeel
 {
 
-/// A value that one thread replaces and others read. Safe from any thread.
-template <class T>
-class shared_value
-{
-public:
-    void put(T value)
-    {
-        auto next = std::make_shared<const T>(std::move(value));
-        const std::lock_guard lock(mutex_);
-        value_ = std::move(next);
-    }
-
-    /// Never null.
-    [[nodiscard]] std::shared_ptr<const T> get() const
-    {
-        const std::lock_guard lock(mutex_);
-        return value_;
-    }
-
-private:
-    mutable std::mutex mutex_;
-    std::shared_ptr<const T> value_ = std::make_shared<const T>();
-};
-
 /// State of the decide thread.
 struct decide_snapshot
 {
--- a/catkinkeel/edge/catalog_duty.cpp
+++ b/catkinkeel/edge/catalog_duty.cpp
@@ -19,6 +19,7 @@
 catalog_duty::catalog_duty(steering::catalog_settings settings,
                            std::shared_ptr<reading_ring> in,
                            std::shared_ptr<view_ring> out,
+                           std::shared_ptr<view_board> board,
                            std::shared_ptr<readiness> ready,
                            std::shared_ptr<event_channel> events,
                            std::shared_ptr<edge_metrics> metrics)
@@ -26,6 +27,7 @@
       catalog_(settings),
       in_(std::move(in)),
       out_(std::move(out)),
+      board_(std::move(board)),
       ready_(std::move(ready)),
       events_(std::move(events)),
       metrics_(std::move(metrics)),
@@ -79,6 +81,7 @@
     }
     auto view =
         std::make_shared<const steering::steering_view>(catalog_.make_view());
+    board_->put(view);
     metrics_->terms_version.Set(
         static_cast<double>(view->parts().version.value));
     metrics_->targets_open.Set(static_cast<double>(std::ranges::count(
@@ -89,9 +92,8 @@
         // The packet thread has not taken the former view; it is outdated.
         out_->try_pop();
     }
-    if (!ready_->is_ready())
+    if (ready_->set_view_known())
     {
-        ready_->set_view_known();
         metrics_->ready.Set(ready_->is_ready() ? 1 : 0);
         events_->report(event_number::readiness_changed,
                         {field("ready", ready_->is_ready() ? "yes" : "no"),
--- a/catkinkeel/edge/catalog_duty.hpp
+++ b/catkinkeel/edge/catalog_duty.hpp
@@ -6,6 +6,7 @@
 #include "catkinkeel/edge/event_channel.hpp"
 #include "catkinkeel/edge/readiness.hpp"
 #include "catkinkeel/edge/reading_duty.hpp"
+#include "catkinkeel/edge/view_board.hpp"
 #include "catkinkeel/ring/bounded_ring.hpp"
 #include "catkinkeel/steering/catalog.hpp"
 #include "catkinkeel/steering/view.hpp"
@@ -27,6 +28,7 @@
     catalog_duty(steering::catalog_settings settings,
                  std::shared_ptr<reading_ring> in,
                  std::shared_ptr<view_ring> out,
+                 std::shared_ptr<view_board> board,
                  std::shared_ptr<readiness> ready,
                  std::shared_ptr<event_channel> events,
                  std::shared_ptr<edge_metrics> metrics);
@@ -52,6 +54,7 @@
     steering::catalog catalog_;
     std::shared_ptr<reading_ring> in_;
     std::shared_ptr<view_ring> out_;
+    std::shared_ptr<view_board> board_;
     std::shared_ptr<readiness> ready_;
     std::shared_ptr<event_channel> events_;
     std::shared_ptr<edge_metrics> metrics_;
--- a/catkinkeel/edge/edge_daemon.cpp
+++ b/catkinkeel/edge/edge_daemon.cpp
@@ -43,6 +43,7 @@
     daemon->ready_ = std::make_shared<readiness>();
     daemon->readings_ = std::make_shared<reading_ring>(reading_ring_size);
     daemon->views_ = std::make_shared<view_ring>(view_ring_size);
+    daemon->board_ = std::make_shared<view_board>();
 
     auto socket = udp_socket::open(settings.packets);
     if (!socket)
@@ -54,10 +55,12 @@
     {
         return notices.error();
     }
-    auto server = http_server::open({.readiness = settings.readiness,
-                                     .readiness_path = settings.readiness_path,
-                                     .metrics = settings.metrics},
-                                    daemon->ready_, daemon->metrics_);
+    auto server =
+        http_server::open({.readiness = settings.readiness,
+                           .readiness_path = settings.readiness_path,
+                           .metrics = settings.metrics,
+                           .control = settings.control},
+                          daemon->ready_, daemon->metrics_, daemon->board_);
     if (!server)
     {
         return server.error();
@@ -67,13 +70,16 @@
     const auto news = std::make_shared<peer_news_ring>(peer_ring_size);
     const auto confirmed = std::make_shared<confirmation_ring>(peer_ring_size);
     daemon->reading_ = std::make_unique<reading_duty>(
-        settings.reading, std::move(source), daemon->readings_, news, confirmed,
-        notices.value(), events, daemon->metrics_);
+        settings.reading, std::move(source),
+        std::make_unique<snapshot_reader>(settings.snapshot_sources,
+                                          settings.snapshot_timeout),
+        daemon->readings_, news, confirmed, notices.value(), events,
+        daemon->metrics_);
     daemon->peers_ = std::make_unique<peers_duty>(
         settings, notices.value(), confirmed, news, daemon->metrics_);
     daemon->catalog_ = std::make_unique<catalog_duty>(
-        settings.catalog, daemon->readings_, daemon->views_, daemon->ready_,
-        events, daemon->metrics_);
+        settings.catalog, daemon->readings_, daemon->views_, daemon->board_,
+        daemon->ready_, events, daemon->metrics_);
     daemon->packets_ = std::make_unique<packet_duty>(
         settings, std::move(socket).value(), std::move(codec), daemon->views_,
         events, daemon->metrics_);
--- a/catkinkeel/edge/edge_daemon.hpp
+++ b/catkinkeel/edge/edge_daemon.hpp
@@ -57,6 +57,7 @@
     std::shared_ptr<readiness> ready_;
     std::shared_ptr<reading_ring> readings_;
     std::shared_ptr<view_ring> views_;
+    std::shared_ptr<view_board> board_;
     std::shared_ptr<http_server> server_;
     std::unique_ptr<packet_duty> packets_;
     std::unique_ptr<catalog_duty> catalog_;
--- a/catkinkeel/edge/edge_metrics.cpp
+++ b/catkinkeel/edge/edge_metrics.cpp
@@ -90,6 +90,8 @@
       store_reads_confirming(
           counter(*registry_, "store_reads_confirming_total",
                   "Reads of the metadata store's newest state")),
+      snapshots_taken(counter(*registry_, "snapshots_taken_total",
+                              "Snapshots of peers used instead of the store")),
       notices_sent(
           counter(*registry_, "notices_sent_total", "Notices sent to peers")),
       notices_received(counter(*registry_, "notices_received_total",
--- a/catkinkeel/edge/edge_metrics.hpp
+++ b/catkinkeel/edge/edge_metrics.hpp
@@ -45,6 +45,7 @@
     prometheus::Counter& store_reads;
     prometheus::Counter& store_reads_failed;
     prometheus::Counter& store_reads_confirming;
+    prometheus::Counter& snapshots_taken;
     prometheus::Counter& notices_sent;
     prometheus::Counter& notices_received;
     prometheus::Counter& notices_rejected;
--- a/catkinkeel/edge/edge_settings.hpp
+++ b/catkinkeel/edge/edge_settings.hpp
@@ -27,7 +27,7 @@
     freshness_settings freshness;
     /// From the start of one read to the next at least. Changes often come in
     /// groups, and each read has a price.
-    duration pause = 150ms;
+    duration pause = 450ms;
     /// Pause after a failed read, doubled up to `retry_at_most`.
     duration retry_first = 100ms;
     duration retry_at_most = 1s;
@@ -81,6 +81,12 @@
     std::string readiness_path;
     /// TCP, metrics for operators.
     endpoint metrics;
+    /// TCP, snapshots for other daemons.
+    endpoint control;
+    /// Control addresses of some daemons; they may be stale.
+    std::vector<endpoint> snapshot_sources;
+    /// Bounds the answer to a question for a snapshot.
+    duration snapshot_timeout = 700ms;
 
     reading_settings reading;
     peer_settings peers;
--- a/catkinkeel/edge/freshness.hpp
+++ b/catkinkeel/edge/freshness.hpp
@@ -45,7 +45,7 @@
     double step_by_rank = 0.02;
     std::uint32_t most_steps = 5;
     /// Longest wait in a cheap read. A stale replica is noticed at its end.
-    double follow_wait = 0.2;
+    double follow_wait = 0.3;
     /// A replica normally has a change that a peer knows after this time.
     duration replica_delay = 100ms;
 
--- a/catkinkeel/edge/http_server.cpp
+++ b/catkinkeel/edge/http_server.cpp
@@ -1,5 +1,9 @@
 #include "catkinkeel/edge/http_server.hpp"
 
+#include "catkinkeel/clock/clock.hpp"
+#include "catkinkeel/edge/snapshot_json.hpp"
+#include "catkinkeel/steering/snapshot.hpp"
+
 #include <civetweb.h>
 
 #include <array>
@@ -26,20 +30,25 @@
 } // namespace
 
 http_server::http_server(std::shared_ptr<const readiness> ready,
-                         std::shared_ptr<const edge_metrics> metrics)
-    : ready_(std::move(ready)), metrics_(std::move(metrics))
+                         std::shared_ptr<const edge_metrics> metrics,
+                         std::shared_ptr<const view_board> views)
+    : ready_(std::move(ready)),
+      metrics_(std::move(metrics)),
+      views_(std::move(views))
 {
 }
 
 outcome<std::shared_ptr<http_server>>
 http_server::open(const http_settings& settings,
                   std::shared_ptr<const readiness> ready,
-                  std::shared_ptr<const edge_metrics> metrics)
+                  std::shared_ptr<const edge_metrics> metrics,
+                  std::shared_ptr<const view_board> views)
 {
-    std::shared_ptr<http_server> server(
-        new http_server(std::move(ready), std::move(metrics)));
-    const std::string ports =
-        to_string(settings.readiness) + "," + to_string(settings.metrics);
+    std::shared_ptr<http_server> server(new http_server(
+        std::move(ready), std::move(metrics), std::move(views)));
+    const std::string ports = to_string(settings.readiness) + "," +
+                              to_string(settings.metrics) + "," +
+                              to_string(settings.control);
     // Two threads: a slow reader of metrics does not hold up readiness.
     std::array<const char*, 9> options{"listening_ports",
                                        ports.c_str(),
@@ -60,6 +69,8 @@
                            &http_server::serve_readiness, server.get());
     mg_set_request_handler(server->context_, "/metrics",
                            &http_server::serve_metrics, server.get());
+    mg_set_request_handler(server->context_, snapshot_path,
+                           &http_server::serve_snapshot, server.get());
     return server;
 }
 
@@ -84,4 +95,15 @@
                   static_cast<http_server*>(server)->metrics_->text());
 }
 
+int http_server::serve_snapshot(mg_connection* connection, void* server)
+{
+    const auto view = static_cast<http_server*>(server)->views_->get();
+    if (view->parts().version == set_version{})
+    {
+        return answer(connection, 503, "text/plain", "no terms are known\n");
+    }
+    return answer(connection, 200, "application/json",
+                  to_json(steering::to_update(*view, boot_now())));
+}
+
 } // namespace catkinkeel::edge
--- a/catkinkeel/edge/http_server.hpp
+++ b/catkinkeel/edge/http_server.hpp
@@ -1,12 +1,13 @@
 #pragma once
 
-// The HTTP interface of an edge daemon: readiness for the routers and metrics
-// for operators. It decides nothing.
+// The HTTP interface of an edge daemon: readiness for the routers, metrics for
+// operators, and what it knows for other daemons. It decides nothing.
 
 #include "catkinkeel/base/address.hpp"
 #include "catkinkeel/base/outcome.hpp"
 #include "catkinkeel/edge/edge_metrics.hpp"
 #include "catkinkeel/edge/readiness.hpp"
+#include "catkinkeel/edge/view_board.hpp"
 
 #include <memory>
 #include <string>
@@ -22,20 +23,24 @@
     endpoint readiness;
     std::string readiness_path;
     endpoint metrics;
+    /// Where other daemons ask for the snapshot.
+    endpoint control;
 
     friend auto operator<=>(const http_settings&,
                             const http_settings&) = default;
 };
 
 /// `GET` of the readiness path: 200, or 503 with the reason as text.
-/// `GET /metrics`: the Prometheus text format. Both at either address.
+/// `GET /metrics`: the Prometheus text format. `GET` of `snapshot_path`: the
+/// view as JSON, or 503 without one. All of them at each address.
 class http_server
 {
 public:
     /// Fails with `unavailable` if an address cannot be listened on.
     static outcome<std::shared_ptr<http_server>>
     open(const http_settings& settings, std::shared_ptr<const readiness> ready,
-         std::shared_ptr<const edge_metrics> metrics);
+         std::shared_ptr<const edge_metrics> metrics,
+         std::shared_ptr<const view_board> views);
 
     ~http_server();
     http_server(const http_server&) = delete;
@@ -43,13 +48,16 @@
 
 private:
     http_server(std::shared_ptr<const readiness> ready,
-                std::shared_ptr<const edge_metrics> metrics);
+                std::shared_ptr<const edge_metrics> metrics,
+                std::shared_ptr<const view_board> views);
 
     static int serve_readiness(mg_connection* connection, void* server);
     static int serve_metrics(mg_connection* connection, void* server);
+    static int serve_snapshot(mg_connection* connection, void* server);
 
     std::shared_ptr<const readiness> ready_;
     std::shared_ptr<const edge_metrics> metrics_;
+    std::shared_ptr<const view_board> views_;
     mg_context* context_ = nullptr;
 };
 
--- a/catkinkeel/edge/readiness.hpp
+++ b/catkinkeel/edge/readiness.hpp
@@ -14,10 +14,10 @@
 {
 public:
     /// A view that can serve is known. It stays known while the process lives,
-    /// also when the metadata store goes away.
-    void set_view_known()
+    /// also when the metadata store goes away. Returns whether it is the first.
+    bool set_view_known()
     {
-        view_known_ = true;
+        return !view_known_.exchange(true);
     }
 
     /// The daemon is about to stop.
--- a/catkinkeel/edge/reading_duty.cpp
+++ b/catkinkeel/edge/reading_duty.cpp
@@ -58,6 +58,7 @@
 
 reading_duty::reading_duty(reading_settings settings,
                            std::shared_ptr<metadata_source> source,
+                           std::unique_ptr<snapshot_reader> snapshots,
                            std::shared_ptr<reading_ring> out,
                            std::shared_ptr<peer_news_ring> news,
                            std::shared_ptr<confirmation_ring> confirmed,
@@ -66,6 +67,7 @@
                            std::shared_ptr<edge_metrics> metrics)
     : settings_(settings),
       source_(std::move(source)),
+      snapshots_(std::move(snapshots)),
       out_(std::move(out)),
       news_(std::move(news)),
       confirmed_(std::move(confirmed)),
@@ -85,6 +87,7 @@
     }
     stopped_.notify_all();
     source_->stop();
+    snapshots_->stop();
     thread_.join();
 }
 
@@ -99,6 +102,7 @@
         instant next = started + settings_.pause;
         if (failures_ > 0)
         {
+            read_snapshot();
             next = steady_now() + retry_delay(settings_, failures_);
         }
         else if (revision_ == 0)
@@ -124,6 +128,31 @@
     }
 }
 
+void reading_duty::read_snapshot()
+{
+    take_news();
+    const auto& known = freshness_.last();
+    const bool worth_asking =
+        revision_ == 0 || (known && known->revision > revision_);
+    if (!worth_asking)
+    {
+        return;
+    }
+    metadata_result result = snapshots_->read();
+    auto* update = std::get_if<steering::metadata_update>(&result);
+    if (update == nullptr || update->revision <= revision_)
+    {
+        return;
+    }
+    metrics_->snapshots_taken.Increment();
+    events_->report(
+        event_number::snapshot_taken,
+        {field("revision", update->revision), field("former", revision_)});
+    revision_ = update->revision;
+    out_->push(
+        std::make_shared<const steering::metadata_update>(std::move(*update)));
+}
+
 metadata_result reading_duty::read_once()
 {
     return revision_ == 0 ? read_everything() : read_news();
@@ -235,6 +264,13 @@
 
 void reading_duty::take(const source_failure& failed)
 {
+    {
+        const std::lock_guard lock(mutex_);
+        if (stopping_)
+        {
+            return;
+        }
+    }
     metrics_->store_reads_failed.Increment();
     if (failures_ == 0)
     {
--- a/catkinkeel/edge/reading_duty.hpp
+++ b/catkinkeel/edge/reading_duty.hpp
@@ -7,6 +7,7 @@
 #include "catkinkeel/edge/event_channel.hpp"
 #include "catkinkeel/edge/metadata_source.hpp"
 #include "catkinkeel/edge/peers_duty.hpp"
+#include "catkinkeel/edge/snapshot_reader.hpp"
 #include "catkinkeel/ring/bounded_ring.hpp"
 
 #include <condition_variable>
@@ -49,6 +50,7 @@
     /// What the reads confirm goes to `confirmed`, and `peers` is woken.
     reading_duty(reading_settings settings,
                  std::shared_ptr<metadata_source> source,
+                 std::unique_ptr<snapshot_reader> snapshots,
                  std::shared_ptr<reading_ring> out,
                  std::shared_ptr<peer_news_ring> news,
                  std::shared_ptr<confirmation_ring> confirmed,
@@ -72,6 +74,9 @@
     metadata_result read_all(read_consistency consistency, duration wait);
     metadata_result read_changes(read_consistency consistency, duration wait);
     void take_news();
+    /// While the store is out of reach, asks another daemon for what it knows
+    /// if that is more.
+    void read_snapshot();
     void take(steering::metadata_update update);
     void take(const history_lost& lost);
     void take(const source_failure& failed);
@@ -80,6 +85,7 @@
 
     reading_settings settings_;
     std::shared_ptr<metadata_source> source_;
+    std::unique_ptr<snapshot_reader> snapshots_;
     std::shared_ptr<reading_ring> out_;
     std::shared_ptr<peer_news_ring> news_;
     std::shared_ptr<confirmation_ring> confirmed_;
--- /dev/null
+++ b/catkinkeel/edge/snapshot_json.cpp
@@ -0,0 +1,176 @@
+#include "catkinkeel/edge/snapshot_json.hpp"
+
+#include <chrono>
+#include <exception>
+#include <nlohmann/json.hpp>
+
+namespace catkinkeel::edge
+{
+
+namespace
+{
+
+using nlohmann::json;
+using namespace steering;
+
+constexpr int format = 1;
+
+json to_json(const target_announcement& target)
+{
+    const auto warm_up = std::chrono::duration_cast<std::chrono::milliseconds>(
+        target.warm_up_left);
+    return {{"name", target.name},
+            {"identity", target.identity},
+            {"service", target.service},
+            {"address", to_string(target.address)},
+            {"data_centre", target.data_centre},
+            {"draining", target.state == announced_state::draining},
+            {"warm_up_ms", warm_up.count()},
+            {"slots", target.slots},
+            {"started_ms", target.started_ms}};
+}
+
+json to_json(const published_terms& terms)
+{
+    json references = json::array();
+    for (const reference_terms& reference : terms.references)
+    {
+        json services = json::array();
+        for (const weighted_service& service : reference.services)
+        {
+            services.push_back({service.name, service.weight});
+        }
+        references.push_back({{"name", reference.name},
+                              {"address", to_string(reference.address)},
+                              {"services", std::move(services)}});
+    }
+    json services = json::array();
+    for (const service_terms& service : terms.services)
+    {
+        services.push_back(
+            {{"name", service.name},
+             {"cold_flows_per_second", service.cold_flows_per_second}});
+    }
+    return {{"version", terms.version.value},
+            {"references", std::move(references)},
+            {"services", std::move(services)}};
+}
+
+endpoint address_of(const json& object)
+{
+    const auto parsed = parse_endpoint(object.at("address").get<std::string>());
+    if (!parsed)
+    {
+        throw std::invalid_argument(parsed.error().message);
+    }
+    return parsed.value();
+}
+
+target_announcement target_from(const json& object)
+{
+    return {.name = object.at("name").get<std::string>(),
+            .identity = object.at("identity").get<std::uint64_t>(),
+            .service = object.at("service").get<std::string>(),
+            .address = address_of(object),
+            .data_centre = object.at("data_centre").get<std::string>(),
+            .state = object.at("draining").get<bool>()
+                         ? announced_state::draining
+                         : announced_state::ready,
+            .warm_up_left = std::chrono::milliseconds(
+                object.at("warm_up_ms").get<std::uint32_t>()),
+            .slots = object.at("slots").get<std::uint32_t>(),
+            .started_ms = object.at("started_ms").get<std::int64_t>()};
+}
+
+published_terms terms_from(const json& object)
+{
+    published_terms terms{
+        .version = {object.at("version").get<std::uint64_t>()}};
+    for (const json& row : object.at("references"))
+    {
+        reference_terms reference{.name = row.at("name").get<std::string>(),
+                                  .address = address_of(row)};
+        for (const json& service : row.at("services"))
+        {
+            reference.services.push_back({service.at(0).get<std::string>(),
+                                          service.at(1).get<std::uint32_t>()});
+        }
+        terms.references.push_back(std::move(reference));
+    }
+    for (const json& row : object.at("services"))
+    {
+        terms.services.push_back(
+            {row.at("name").get<std::string>(),
+             row.at("cold_flows_per_second").get<double>()});
+    }
+    return terms;
+}
+
+metadata_update update_from(const json& document)
+{
+    if (document.at("format") != format)
+    {
+        throw std::invalid_argument("another format");
+    }
+    metadata_update update{.complete = true,
+                           .revision =
+                               document.at("revision").get<std::uint64_t>()};
+    update.changes.emplace_back(
+        terms_published{terms_from(document.at("terms"))});
+    for (const json& name : document.at("closed"))
+    {
+        update.changes.emplace_back(
+            data_centre_switched{name.get<std::string>(), false});
+    }
+    for (const json& target : document.at("targets"))
+    {
+        update.changes.emplace_back(target_announced{target_from(target)});
+    }
+    return update;
+}
+
+} // namespace
+
+std::string to_json(const metadata_update& update)
+{
+    json targets = json::array();
+    json closed = json::array();
+    json terms = nullptr;
+    for (const metadata_change& change : update.changes)
+    {
+        if (const auto* target = std::get_if<target_announced>(&change))
+        {
+            targets.push_back(to_json(target->target));
+        }
+        else if (const auto* published = std::get_if<terms_published>(&change))
+        {
+            terms = to_json(published->terms);
+        }
+        else if (const auto* switched =
+                     std::get_if<data_centre_switched>(&change))
+        {
+            closed.push_back(switched->name);
+        }
+    }
+    const json document{{"format", format},
+                        {"revision", update.revision},
+                        {"terms", std::move(terms)},
+                        {"closed", std::move(closed)},
+                        {"targets", std::move(targets)}};
+    return document.dump();
+}
+
+outcome<metadata_update> parse_snapshot(const std::string& text)
+{
+    // The JSON library reports missing members and wrong types by exceptions.
+    try
+    {
+        return update_from(json::parse(text));
+    }
+    catch (const std::exception& problem)
+    {
+        return failure{failure_kind::invalid_input, problem.what()};
+    }
+}
+
+} // namespace catkinkeel::edge
--- /dev/null
+++ b/catkinkeel/edge/snapshot_json.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+// Snapshots that daemons ask of each other over HTTP, as JSON.
+
+#include "catkinkeel/base/outcome.hpp"
+#include "catkinkeel/steering/objects.hpp"
+
+#include <string>
+
+namespace catkinkeel::edge
+{
+
+/// Path of the snapshot on a daemon's control address.
+inline constexpr const char* snapshot_path = "/v1/snapshot";
+
+/// Largest snapshot; 24,000 targets take about 5 MB.
+inline constexpr std::size_t largest_snapshot = 16UL * 1024 * 1024;
+
+std::string to_json(const steering::metadata_update& update);
+
+/// Fails with `invalid_input` for anything but a snapshot.
+outcome<steering::metadata_update> parse_snapshot(const std::string& text);
+
+} // namespace catkinkeel::edge
--- a/catkinkeel/event/catalogue.cpp
+++ b/catkinkeel/event/catalogue.cpp
@@ -139,6 +139,11 @@
         "the metadata store dropped its history after revision {revision}; "
         "everything is read again",
         "None."},
+    event_definition{
+        number::snapshot_taken, "snapshot_taken", info, change::none, 0,
+        "the metadata store is out of reach; a peer's snapshot of revision "
+        "{revision} replaces revision {former}",
+        "Check the network between this VM and the store."},
 
     event_definition{number::member_joined, "member_joined", info,
                      change::member, 0,
--- a/catkinkeel/event/catalogue.hpp
+++ b/catkinkeel/event/catalogue.hpp
@@ -45,6 +45,7 @@
     terms_in_effect = 2011,
     entry_rejected = 2012,
     metadata_history_lost = 2013,
+    snapshot_taken = 2014,
 
     member_joined = 3001,
     member_suspect = 3002,
--- a/catkinkeel/steering/catalog.cpp
+++ b/catkinkeel/steering/catalog.cpp
@@ -121,7 +121,8 @@
     const bool new_life =
         found == targets_.end() ||
         found->second.announced.started_ms != next.started_ms ||
-        next.heartbeat < found->second.announced.heartbeat;
+        (next.heartbeat > 0 &&
+         next.heartbeat < found->second.announced.heartbeat);
     if (!new_life)
     {
         known_target& target = found->second;
@@ -359,6 +360,7 @@
     {
         parts.data_centres[number] = name;
     }
+    parts.closed.assign(closed_.begin(), closed_.end());
     add_targets(parts);
     add_references(parts);
     return steering_view(std::move(parts));
--- a/catkinkeel/steering/catalog_test.cpp
+++ b/catkinkeel/steering/catalog_test.cpp
@@ -1,4 +1,5 @@
 #include "catkinkeel/steering/catalog.hpp"
+#include "catkinkeel/steering/snapshot.hpp"
 #include "catkinkeel/steering/steering_samples.hpp"
 
 #include <catch2/catch.hpp>
@@ -227,3 +228,33 @@
     known.expire(at(61s));
     CHECK(known.make_view().parts().references.empty());
 }
+
+TEST_CASE("a daemon that takes a peer's snapshot steers as the peer does")
+{
+    catalog known = site(3);
+    known.apply(update(11, {data_centre_switched{"b", false},
+                            announce("t0", 10, announced_state::draining),
+                            target_withdrawn{"t2"}}),
+                at(1s));
+    catalog other(settings);
+    other.apply(to_update(known.make_view(), at(1s)), at(5s));
+    CHECK(other.revision() == 11);
+    CHECK(standing(other, "t0") == target_standing::draining);
+    CHECK(standing(other, "t1") == target_standing::open);
+    const steering_view view = other.make_view();
+    CHECK(view.parts().targets.size() == 2);
+    CHECK(view.parts().closed == std::vector<std::string>{"b"});
+    CHECK(view.parts().version == set_version{1});
+    CHECK(view.find_reference(address(1, 443))->choices.size() == 1);
+    CHECK(view.parts().targets[0].token ==
+          known.make_view().parts().targets[0].token);
+}
+
+TEST_CASE("an announcement without a heartbeat is no new life")
+{
+    // Guards against a peer's snapshot that forgets the load of all targets.
+    catalog known = site(1);
+    const target_id before = known.make_view().parts().targets[0].id;
+    known.apply(to_update(known.make_view(), at(1s)), at(1s));
+    CHECK(known.make_view().parts().targets[0].id == before);
+}
--- a/catkinkeel/steering/objects.hpp
+++ b/catkinkeel/steering/objects.hpp
@@ -41,7 +41,7 @@
     /// Requests that it works on at a time; at least 1.
     std::uint32_t slots = 1;
     /// Grows with each announcement of one life; a lower value than before
-    /// means another life.
+    /// means another life. 0 if it is not known.
     std::uint64_t heartbeat = 0;
     /// Start of this life, Unix time in ms; 0 if the target does not say it.
     std::int64_t started_ms = 0;
--- a/catkinkeel/steering/view.hpp
+++ b/catkinkeel/steering/view.hpp
@@ -103,6 +103,8 @@
     std::vector<view_service> services;
     /// Names by `data_centre_id`.
     std::vector<std::string> data_centres;
+    /// Names of the data centres that are out of service.
+    std::vector<std::string> closed;
 
     friend auto operator<=>(const view_parts&, const view_parts&) = default;
 };
