Read everything from the store after lost history, whatever peers say

Ruled out: stale replicas; each answer of the store was the newest.

Change: that everything has to be read is kept apart from the revision that is known, and only the store's whole answer clears it.

--- a/apps/catkinkeel_edge.cpp
+++ b/apps/catkinkeel_edge.cpp
@@ -3,6 +3,9 @@
 #include "catkinkeel/base/release.hpp"
 #include "catkinkeel/base/text_file.hpp"
 #include "catkinkeel/edge/edge_daemon.hpp"
+#include "platform/node_file.hpp"
+#include "platform/packet_head.hpp"
+#include "platform/store_client.hpp"
 
 #include <tclap/CmdLine.h>
 
@@ -12,10 +15,6 @@
 #include <memory>
 #include <string>
 
-#include "platform/node_file.hpp"
-#include "platform/packet_head.hpp"
-#include "platform/store_client.hpp"
-
 namespace
 {
 
--- a/catkinkeel/edge/edge_daemon.cpp
+++ b/catkinkeel/edge/edge_daemon.cpp
@@ -35,7 +35,7 @@
 edge_daemon::start(const edge_settings& settings,
                    std::shared_ptr<metadata_source> source,
                    std::shared_ptr<const packet_codec> codec,
-                   std::shared_ptr<event_channel> events)
+                   const std::shared_ptr<event_channel>& events)
 {
     std::shared_ptr<edge_daemon> daemon(new edge_daemon(settings));
     daemon->events_ = events;
--- a/catkinkeel/edge/edge_daemon.hpp
+++ b/catkinkeel/edge/edge_daemon.hpp
@@ -38,7 +38,7 @@
     start(const edge_settings& settings,
           std::shared_ptr<metadata_source> source,
           std::shared_ptr<const packet_codec> codec,
-          std::shared_ptr<event_channel> events);
+          const std::shared_ptr<event_channel>& events);
 
     ~edge_daemon();
     edge_daemon(const edge_daemon&) = delete;
--- a/catkinkeel/edge/peers_duty.cpp
+++ b/catkinkeel/edge/peers_duty.cpp
@@ -152,6 +152,7 @@
 void peers_duty::send(const std::vector<peer>& to, std::size_t sightings)
 {
     std::vector<endpoint> addresses;
+    addresses.reserve(to.size());
     for (const peer& each : to)
     {
         addresses.push_back(each.notices);
--- a/catkinkeel/edge/reading_duty.cpp
+++ b/catkinkeel/edge/reading_duty.cpp
@@ -105,7 +105,7 @@
             read_snapshot();
             next = steady_now() + retry_delay(settings_, failures_);
         }
-        else if (revision_ == 0)
+        else if (everything_needed_)
         {
             next = started;
         }
@@ -155,23 +155,22 @@
 
 metadata_result reading_duty::read_once()
 {
-    return revision_ == 0 ? read_everything() : read_news();
+    return everything_needed_ ? read_everything() : read_news();
 }
 
 metadata_result reading_duty::read_everything()
 {
     metadata_result all =
-        call(read_consistency::any_replica, &reading_duty::read_all);
+        call(read_consistency::any_replica, &reading_duty::read_all, 0);
     auto* update = std::get_if<steering::metadata_update>(&all);
     if (update == nullptr)
     {
         return all;
     }
     // A replica may be seconds behind; the newest changes complete it.
-    revision_ = update->revision;
     const metadata_result news =
-        call(read_consistency::newest, &reading_duty::read_changes);
-    revision_ = 0;
+        call(read_consistency::newest, &reading_duty::read_changes,
+             update->revision);
     if (const auto* later = std::get_if<steering::metadata_update>(&news))
     {
         return merge(std::move(*update), *later);
@@ -180,7 +179,7 @@
     {
         return all;
     }
-    return call(read_consistency::newest, &reading_duty::read_all);
+    return call(read_consistency::newest, &reading_duty::read_all, 0);
 }
 
 metadata_result reading_duty::read_news()
@@ -191,34 +190,35 @@
     {
         metadata_result followed =
             call(read_consistency::any_replica, &reading_duty::read_changes,
-                 choice.wait);
+                 revision_, choice.wait);
         if (!std::holds_alternative<source_failure>(followed))
         {
             return followed;
         }
     }
-    return call(read_consistency::newest, &reading_duty::read_changes);
+    return call(read_consistency::newest, &reading_duty::read_changes,
+                revision_);
 }
 
 metadata_result reading_duty::read_all(read_consistency consistency,
+                                       std::uint64_t /*after*/,
                                        duration /*wait*/)
 {
     return source_->read_all(consistency);
 }
 
 metadata_result reading_duty::read_changes(read_consistency consistency,
-                                           duration wait)
+                                           std::uint64_t after, duration wait)
 {
-    return source_->read_changes(revision_, wait, consistency);
+    return source_->read_changes(after, wait, consistency);
 }
 
-metadata_result reading_duty::call(
-    read_consistency consistency,
-    metadata_result (reading_duty::*read)(read_consistency, duration),
-    duration wait)
+metadata_result reading_duty::call(read_consistency consistency,
+                                   read_method read, std::uint64_t after,
+                                   duration wait)
 {
     const instant started = boot_now();
-    metadata_result result = (this->*read)(consistency, wait);
+    metadata_result result = (this->*read)(consistency, after, wait);
     metrics_->store_reads.Increment();
     metrics_->store_read_seconds.Observe(seconds_of(boot_now() - started));
     const auto* update = std::get_if<steering::metadata_update>(&result);
@@ -249,6 +249,7 @@
     }
     metrics_->store_confirmed.SetToCurrentTime();
     revision_ = std::max(revision_, update.revision);
+    everything_needed_ = everything_needed_ && !update.complete;
     out_->push(
         std::make_shared<const steering::metadata_update>(std::move(update)));
 }
@@ -257,7 +258,7 @@
 {
     events_->report(event_number::metadata_history_lost,
                     {field("revision", revision_)});
-    revision_ = 0;
+    everything_needed_ = true;
     // Watches may have been deaf before the history went.
     out_->push(contact_lost{});
 }
--- a/catkinkeel/edge/reading_duty.hpp
+++ b/catkinkeel/edge/reading_duty.hpp
@@ -66,13 +66,16 @@
     metadata_result read_once();
     metadata_result read_everything();
     metadata_result read_news();
+    using read_method = metadata_result (reading_duty::*)(read_consistency,
+                                                          std::uint64_t after,
+                                                          duration wait);
     /// Makes one read; a read of the newest state confirms a revision.
-    metadata_result call(read_consistency consistency,
-                         metadata_result (reading_duty::*read)(read_consistency,
-                                                               duration),
-                         duration wait = {});
-    metadata_result read_all(read_consistency consistency, duration wait);
-    metadata_result read_changes(read_consistency consistency, duration wait);
+    metadata_result call(read_consistency consistency, read_method read,
+                         std::uint64_t after, duration wait = {});
+    metadata_result read_all(read_consistency consistency, std::uint64_t after,
+                             duration wait);
+    metadata_result read_changes(read_consistency consistency,
+                                 std::uint64_t after, duration wait);
     void take_news();
     /// While the store is out of reach, asks another daemon for what it knows
     /// if that is more.
@@ -93,8 +96,11 @@
     std::shared_ptr<event_channel> events_;
     std::shared_ptr<edge_metrics> metrics_;
 
-    /// 0 before everything was read.
+    /// Revision up to which the catalogue was told, by the store or by a peer.
     std::uint64_t revision_ = 0;
+    /// Changes do not suffice: nothing was read yet, or the store has dropped
+    /// the changes after `revision_`. Only the store can make up for that.
+    bool everything_needed_ = true;
     std::uint32_t failures_ = 0;
     freshness freshness_;
     reader_rank rank_;
--- a/catkinkeel/steering/steering_samples.hpp
+++ b/catkinkeel/steering/steering_samples.hpp
@@ -37,12 +37,12 @@
             .started_ms = 1000};
 }
 
-inline published_terms
-sample_terms(std::uint64_t version,
-             std::vector<std::pair<std::uint16_t, std::string>> references)
+inline published_terms sample_terms(
+    std::uint64_t version,
+    const std::vector<std::pair<std::uint16_t, std::string>>& references)
 {
     published_terms terms{.version = {version}};
-    for (auto& [port, service] : references)
+    for (const auto& [port, service] : references)
     {
         terms.references.push_back({.name = "r" + std::to_string(port),
                                     .address = address(1, port),
--- a/catkinkeel/steering/view.cpp
+++ b/catkinkeel/steering/view.cpp
@@ -81,11 +81,10 @@
     {
         return nullptr;
     }
-    const auto rows =
-        std::ranges::equal_range(tokens_, token, {}, &token_row::token);
-    for (const token_row& row : rows)
+    auto row = std::ranges::lower_bound(tokens_, token, {}, &token_row::token);
+    for (; row != tokens_.end() && row->token == token; ++row)
     {
-        const view_target& target = parts_.targets[row.target];
+        const view_target& target = parts_.targets[row->target];
         if (std::ranges::binary_search(reference.permitted, target.service))
         {
             return &target;
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -15,6 +15,7 @@
     "data_centre_out|no packet into a data centre 3 s after it is out, from reachable VMs|3 VMs, 1 bucket, any cuts|FORWARD_TO_HOLDER NO_PULL CUT_OFF_TOO"
     "cold_start|at most one VM acts as steward of a cold target|2 VMs, 10 s units, list age 30 s, delay 10 s, any restarts and partitions|NO_LIST_AGE NO_LISTED NO_HOLD NO_GAP_RESET LISTED_BY_CLOCK FLAPPING LAG_IGNORED PAGE_RULE"
     "ramp|successive stewards stay below one ramp|4 stewards, capacity 32, steps of 5 s|NO_WAIT"
+    "follow|daemons that follow stale replicas learn of a change within the bound|3 daemons, 1 change, 1 stop, any loss of notices, any staleness|NO_OWN_CONFIRM NO_BEHIND LONG_FOLLOW AGE_FORGOTTEN"
     "grants|a steward, the holders of its grants and the next steward stay below one ramp|3 VMs, 2 stewards, capacity 16, 1 restart, any loss, delay and order|FORGET_OUTSTANDING BY_VM NO_INCREMENT"
 )
 
--- a/tools/sanitize.sh
+++ b/tools/sanitize.sh
@@ -12,8 +12,8 @@
     ;;
 thread)
     sanitizers=thread
-    selected='^(ring|event|link|packet|daemon)(/|$)'
-    targets=(catkinkeel_{ring,event,link,packet,daemon}_test)
+    selected='^(ring|event|link|packet|edge|daemon)(/|$)'
+    targets=(catkinkeel_{ring,event,link,packet,edge,daemon}_test)
     ;;
 *)
     echo "usage: tools/sanitize.sh address|thread [build directory]" >&2
