--- a/catkinkeel/edge/edge_test.cpp
+++ b/catkinkeel/edge/edge_test.cpp
@@ -18,6 +18,7 @@
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <set>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -338,6 +339,64 @@
     CHECK(retry_delay(settings, 1000) == 1s);
 }
 
+TEST_CASE("every event has the fields that its text names")
+{
+    // Guards against log lines that lack what an operator needs to explain a
+    // failed request.
+    running_site site;
+    site.source->say(::site(site.socket->local()));
+    REQUIRE(eventually([&] { return site.is_ready(); }));
+    site.send('o');
+    CHECK(site.receive().starts_with("o"));
+    site.send('d', 12345);
+    steering::metadata_update change;
+    change.revision = 11;
+    change.changes = {
+        steering::terms_published{{.version = {5}}},
+        steering::entry_rejected{"servers/x", "no address"},
+        steering::data_centre_switched{"a", false},
+        steering::data_centre_switched{"a", true},
+        steering::terms_published{{.version = {4}}},
+        steering::target_withdrawn{"t"},
+    };
+    site.source->say(change);
+    const auto metrics_have = [&](const char* line)
+    {
+        return get(site.settings.metrics, "/metrics").find(line) !=
+               std::string::npos;
+    };
+    REQUIRE(eventually([&] { return metrics_have("terms_version 5"); }));
+    REQUIRE(
+        eventually([&] { return metrics_have("reason=\"unknown_token\""); }));
+    REQUIRE(eventually(
+        [&] { return !metrics_have("store_reads_failed_total 0"); }));
+    site.daemon->depart();
+    site.daemon.reset();
+    std::set<event_number> seen;
+    site.events->ring().close();
+    while (const auto batch = site.events->ring().pop())
+    {
+        for (const event_record& each : *batch)
+        {
+            CAPTURE(render_text(each));
+            CHECK(missing_fields(each).empty());
+            seen.insert(each.number);
+        }
+    }
+    for (const event_number expected :
+         {event_number::readiness_changed, event_number::departure_started,
+          event_number::shutdown_finished, event_number::terms_in_effect,
+          event_number::set_older_ignored, event_number::entry_rejected,
+          event_number::data_centre_out, event_number::data_centre_in,
+          event_number::target_standing, event_number::flow_placed,
+          event_number::flow_discarded,
+          event_number::configuration_unreachable})
+    {
+        CAPTURE(static_cast<int>(expected));
+        CHECK(seen.contains(expected));
+    }
+}
+
 TEST_CASE("reporting never waits, and what was dropped is said")
 {
     // Guards against a full log that stops the packet thread.
