Share the daemons' main programs and HTTP answers

Cause: signals, exit codes, the handling of a wrong command line and the sending of an HTTP answer stood in both daemons. Now once, in apps/process.hpp and http/send_answer.hpp; both daemons print their release in one line and ignore SIGPIPE. No decision changed.

--- a/apps/catkinkeel_edge.cpp
+++ b/apps/catkinkeel_edge.cpp
@@ -1,5 +1,6 @@
 // The daemon of one entry VM on a platform whose flows carry a token.
 
+#include "apps/process.hpp"
 #include "catkinkeel/base/release.hpp"
 #include "catkinkeel/base/text_file.hpp"
 #include "catkinkeel/edge/edge_daemon.hpp"
@@ -9,7 +10,6 @@
 
 #include <tclap/CmdLine.h>
 
-#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <memory>
@@ -20,34 +20,12 @@
 
 using namespace catkinkeel;
 
-enum exit_code : int
-{
-    success = 0,
-    cannot_start = 1,
-    wrong_usage = 2
-};
-
 /// How often the settings file is looked at without a signal.
 constexpr timespec settings_check{.tv_sec = 2, .tv_nsec = 0};
 
 /// Entries of the audit trail that the log keeps.
 constexpr std::size_t audit_capacity = 256;
 
-/// Signals are blocked before any thread starts, and taken by `sigtimedwait`
-/// only. A write to a connection that the other side closed is an error value.
-sigset_t block_signals()
-{
-    std::signal(SIGPIPE, SIG_IGN);
-    sigset_t signals;
-    sigemptyset(&signals);
-    for (const int each : {SIGTERM, SIGINT, SIGHUP})
-    {
-        sigaddset(&signals, each);
-    }
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    return signals;
-}
-
 outcome<platform::node_settings> read_settings(const std::string& file)
 {
     const auto text = read_text_file(file, {platform::largest_node_file});
@@ -142,28 +120,24 @@
 
 int main(int argc, char** argv)
 {
-    try
-    {
-        TCLAP::CmdLine line("The catkinkeel daemon of one entry VM on a "
-                            "platform whose flows carry a token");
-        const TCLAP::ValueArg<std::string> file(
-            "s", "settings",
-            std::string("The platform's settings file (YAML); by default $") +
-                platform::node_file_variable,
-            false, default_file(), "FILE", line);
-        const TCLAP::SwitchArg check("c", "check",
-                                     "Check the settings file and exit", line);
-        line.setExceptionHandling(false);
-        line.parse(argc, argv);
-        return check_and_serve(file.getValue(), check.getValue());
-    }
-    catch (const TCLAP::ArgException& problem)
-    {
-        std::cerr << problem.argId() << ": " << problem.error() << '\n';
-        return wrong_usage;
-    }
-    catch (const TCLAP::ExitException& request)
-    {
-        return request.getExitStatus();
-    }
+    return run_command(
+        [&]
+        {
+            TCLAP::CmdLine line("The catkinkeel daemon of one entry VM on a "
+                                "platform whose flows carry a token",
+                                ' ', std::string(release()));
+            const TCLAP::ValueArg<std::string> file(
+                "s", "settings",
+                std::string("The platform's settings file (YAML); by "
+                            "default $") +
+                    platform::node_file_variable,
+                false, default_file(), "FILE", line);
+            const TCLAP::SwitchArg check(
+                "c", "check", "Check the settings file and exit", line);
+            version_line output("catkinkeel-edge");
+            line.setOutput(&output);
+            line.setExceptionHandling(false);
+            line.parse(argc, argv);
+            return check_and_serve(file.getValue(), check.getValue());
+        });
 }
--- a/apps/catkinkeeld.cpp
+++ b/apps/catkinkeeld.cpp
@@ -1,12 +1,12 @@
 // The daemon of one entry VM.
 
+#include "apps/process.hpp"
 #include "catkinkeel/clock/clock.hpp"
 #include "catkinkeel/daemon/daemon.hpp"
 #include "catkinkeel/operators/documents.hpp"
 
 #include <tclap/CmdLine.h>
 
-#include <csignal>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -16,36 +16,6 @@
 
 using namespace catkinkeel;
 
-enum exit_code : int
-{
-    success = 0,
-    cannot_start = 1,
-    wrong_usage = 2
-};
-
-/// TCLAP's output with the release in one line, as `catkinkeel --version`.
-class daemon_output : public TCLAP::StdOutput
-{
-public:
-    void version(TCLAP::CmdLineInterface& /*line*/) override
-    {
-        std::cout << "catkinkeeld " << release() << '\n';
-    }
-};
-
-/// Signals are blocked before any thread starts, and taken by `sigwait` only.
-sigset_t block_signals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    for (const int each : {SIGTERM, SIGINT, SIGHUP})
-    {
-        sigaddset(&signals, each);
-    }
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    return signals;
-}
-
 int run(const daemon_settings& settings, const sigset_t& signals)
 {
     const auto events = std::make_shared<reporter>(std::make_shared<event_log>(
@@ -101,27 +71,20 @@
 
 int main(int argc, char** argv)
 {
-    try
-    {
-        TCLAP::CmdLine line("The catkinkeel daemon of one entry VM", ' ',
-                            std::string(release()));
-        const TCLAP::ValueArg<std::string> file(
-            "s", "settings", "Settings file (TOML)", true, "", "FILE", line);
-        const TCLAP::SwitchArg check("c", "check",
-                                     "Check the settings file and exit", line);
-        daemon_output output;
-        line.setOutput(&output);
-        line.setExceptionHandling(false);
-        line.parse(argc, argv);
-        return check_and_run(file.getValue(), check.getValue());
-    }
-    catch (const TCLAP::ArgException& problem)
-    {
-        std::cerr << problem.argId() << ": " << problem.error() << '\n';
-        return wrong_usage;
-    }
-    catch (const TCLAP::ExitException& request)
-    {
-        return request.getExitStatus();
-    }
+    return run_command(
+        [&]
+        {
+            TCLAP::CmdLine line("The catkinkeel daemon of one entry VM", ' ',
+                                std::string(release()));
+            const TCLAP::ValueArg<std::string> file("s", "settings",
+                                                    "Settings file (TOML)",
+                                                    true, "", "FILE", line);
+            const TCLAP::SwitchArg check(
+                "c", "check", "Check the settings file and exit", line);
+            version_line output("catkinkeeld");
+            line.setOutput(&output);
+            line.setExceptionHandling(false);
+            line.parse(argc, argv);
+            return check_and_run(file.getValue(), check.getValue());
+        });
 }
--- a/catkinkeel/daemon/operators_server.cpp
+++ b/catkinkeel/daemon/operators_server.cpp
@@ -1,6 +1,7 @@
 #include "catkinkeel/daemon/operators_server.hpp"
 
 #include "catkinkeel/clock/clock.hpp"
+#include "catkinkeel/http/send_answer.hpp"
 #include "catkinkeel/operators/names.hpp"
 
 #include <civetweb.h>
@@ -151,13 +152,7 @@
             request->query_string == nullptr ? "" : request->query_string;
         made = (asked.server->*asked.make)(query);
     }
-    mg_printf(connection,
-              "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n"
-              "Content-Length: %zu\r\nConnection: close\r\n\r\n",
-              made.status, mg_get_response_code_text(connection, made.status),
-              made.media_type.c_str(), made.body.size());
-    mg_write(connection, made.body.data(), made.body.size());
-    return made.status;
+    return send_answer(connection, made.status, made.media_type, made.body);
 }
 
 operators_server::answer
--- a/catkinkeel/edge/http_server.cpp
+++ b/catkinkeel/edge/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "catkinkeel/clock/clock.hpp"
 #include "catkinkeel/edge/snapshot_json.hpp"
+#include "catkinkeel/http/send_answer.hpp"
 #include "catkinkeel/steering/snapshot.hpp"
 
 #include <civetweb.h>
@@ -12,23 +13,6 @@
 namespace catkinkeel::edge
 {
 
-namespace
-{
-
-int answer(mg_connection* connection, int status, const char* media_type,
-           const std::string& body)
-{
-    mg_printf(connection,
-              "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n"
-              "Content-Length: %zu\r\nConnection: close\r\n\r\n",
-              status, mg_get_response_code_text(connection, status), media_type,
-              body.size());
-    mg_write(connection, body.data(), body.size());
-    return status;
-}
-
-} // namespace
-
 http_server::http_server(std::shared_ptr<const readiness> ready,
                          std::shared_ptr<const edge_metrics> metrics,
                          std::shared_ptr<const view_board> views)
@@ -85,14 +69,14 @@
 int http_server::serve_readiness(mg_connection* connection, void* server)
 {
     const readiness& ready = *static_cast<http_server*>(server)->ready_;
-    return answer(connection, ready.is_ready() ? 200 : 503, "text/plain",
-                  std::string(ready.reason()) + "\n");
+    return send_answer(connection, ready.is_ready() ? 200 : 503, "text/plain",
+                       std::string(ready.reason()) + "\n");
 }
 
 int http_server::serve_metrics(mg_connection* connection, void* server)
 {
-    return answer(connection, 200, "text/plain; version=0.0.4",
-                  static_cast<http_server*>(server)->metrics_->text());
+    return send_answer(connection, 200, "text/plain; version=0.0.4",
+                       static_cast<http_server*>(server)->metrics_->text());
 }
 
 int http_server::serve_snapshot(mg_connection* connection, void* server)
@@ -100,10 +84,11 @@
     const auto view = static_cast<http_server*>(server)->views_->get();
     if (view->parts().version == set_version{})
     {
-        return answer(connection, 503, "text/plain", "no terms are known\n");
+        return send_answer(connection, 503, "text/plain",
+                           "no terms are known\n");
     }
-    return answer(connection, 200, "application/json",
-                  to_json(steering::to_update(*view, boot_now())));
+    return send_answer(connection, 200, "application/json",
+                       to_json(steering::to_update(*view, boot_now())));
 }
 
 } // namespace catkinkeel::edge
