--- a/catkinkeel/edge/catalog_duty.cpp
+++ b/catkinkeel/edge/catalog_duty.cpp
@@ -50,7 +50,7 @@
         const auto news = in_->pop_for(std::max(wait, duration::zero()));
         if (news)
         {
-            std::visit([&](const auto& each) { take(each); }, *news);
+            take(*news);
         }
         else
         {
@@ -61,18 +61,17 @@
     }
 }
 
-void catalog_duty::take(
-    const std::shared_ptr<const steering::metadata_update>& update)
+void catalog_duty::take(const reading& news)
 {
-    report(catalog_.apply(*update, boot_now()));
+    if (!news.update)
+    {
+        catalog_.note_contact_lost(boot_now());
+        return;
+    }
+    report(catalog_.apply(*news.update, boot_now()));
     publish();
 }
 
-void catalog_duty::take(const contact_lost& /*lost*/)
-{
-    catalog_.note_contact_lost(boot_now());
-}
-
 void catalog_duty::publish()
 {
     if (!catalog_.usable())
@@ -87,11 +86,7 @@
     metrics_->targets_open.Set(static_cast<double>(std::ranges::count(
         view->parts().targets, steering::target_standing::open,
         &steering::view_target::standing)));
-    while (!out_->try_push(view) && !out_->closed())
-    {
-        // The packet thread has not taken the former view; it is outdated.
-        out_->try_pop();
-    }
+    out_->push_newest(view);
     if (ready_->set_view_known())
     {
         metrics_->ready.Set(ready_->is_ready() ? 1 : 0);
--- a/catkinkeel/edge/catalog_duty.hpp
+++ b/catkinkeel/edge/catalog_duty.hpp
@@ -38,8 +38,7 @@
 
 private:
     void run();
-    void take(const std::shared_ptr<const steering::metadata_update>& update);
-    void take(const contact_lost& lost);
+    void take(const reading& news);
     void publish();
     void report(const std::vector<steering::catalog_event>& changes);
 
--- a/catkinkeel/edge/edge_test.cpp
+++ b/catkinkeel/edge/edge_test.cpp
@@ -397,6 +397,26 @@
     }
 }
 
+TEST_CASE("a snapshot that cannot be had is said, with the reason")
+{
+    // Guards against an error of a peer that is swallowed.
+    const running_site site({{{0x7f000001}, free_port()}});
+    bool said = false;
+    while (!said)
+    {
+        const auto batch = site.events->ring().pop();
+        REQUIRE(batch);
+        for (const event_record& each : *batch)
+        {
+            if (each.number == event_number::snapshot_failed)
+            {
+                said = true;
+                CHECK(missing_fields(each).empty());
+            }
+        }
+    }
+}
+
 TEST_CASE("reporting never waits, and what was dropped is said")
 {
     // Guards against a full log that stops the packet thread.
--- a/catkinkeel/edge/peers_duty.cpp
+++ b/catkinkeel/edge/peers_duty.cpp
@@ -108,7 +108,7 @@
     {
         known_ = notice.confirmed;
         send(table_.pick_nearby(nearby_fan_out, random_), usual_sightings);
-        out_->try_push({known_, table_.rank()});
+        out_->push_newest({known_, table_.rank()});
     }
     if (notice.wants_peers)
     {
@@ -188,7 +188,7 @@
     if (rank != told_)
     {
         told_ = rank;
-        out_->try_push({known_, rank});
+        out_->push_newest({known_, rank});
     }
 }
 
--- a/catkinkeel/edge/peers_duty.hpp
+++ b/catkinkeel/edge/peers_duty.hpp
@@ -33,7 +33,7 @@
 using peer_news_ring = bounded_ring<peer_news>;
 using confirmation_ring = bounded_ring<confirmation>;
 
-/// The newest entry says all; the oldest is dropped for it.
+/// Entries of the rings between reading and peers; only the newest matter.
 inline constexpr std::size_t peer_ring_size = 4;
 
 class peers_duty
--- a/catkinkeel/edge/reading_duty.cpp
+++ b/catkinkeel/edge/reading_duty.cpp
@@ -139,6 +139,12 @@
         return;
     }
     metadata_result result = snapshots_->read();
+    if (const auto* failed = std::get_if<source_failure>(&result))
+    {
+        events_->report(event_number::snapshot_failed,
+                        {field("reason", failed->reason)});
+        return;
+    }
     auto* update = std::get_if<steering::metadata_update>(&result);
     if (update == nullptr || update->revision <= revision_)
     {
@@ -149,8 +155,8 @@
         event_number::snapshot_taken,
         {field("revision", update->revision), field("former", revision_)});
     revision_ = update->revision;
-    out_->push(
-        std::make_shared<const steering::metadata_update>(std::move(*update)));
+    out_->push({std::make_shared<const steering::metadata_update>(
+        std::move(*update))});
 }
 
 metadata_result reading_duty::read_once()
@@ -229,7 +235,7 @@
         {
             const confirmation confirmed{update->revision, started};
             freshness_.note(confirmed, started);
-            confirmed_->try_push(confirmed);
+            confirmed_->push_newest(confirmed);
             peers_->wake();
         }
     }
@@ -251,7 +257,7 @@
     revision_ = std::max(revision_, update.revision);
     everything_needed_ = everything_needed_ && !update.complete;
     out_->push(
-        std::make_shared<const steering::metadata_update>(std::move(update)));
+        {std::make_shared<const steering::metadata_update>(std::move(update))});
 }
 
 void reading_duty::take(const history_lost& /*lost*/)
@@ -259,8 +265,8 @@
     events_->report(event_number::metadata_history_lost,
                     {field("revision", revision_)});
     everything_needed_ = true;
-    // Watches may have been deaf before the history went.
-    out_->push(contact_lost{});
+    // Reads may have missed changes before the history went.
+    out_->push({});
 }
 
 void reading_duty::take(const source_failure& failed)
@@ -281,7 +287,7 @@
                          field("reason", failed.reason)});
     }
     ++failures_;
-    out_->push(contact_lost{});
+    out_->push({});
 }
 
 bool reading_duty::sleep_until(instant moment)
--- a/catkinkeel/edge/reading_duty.hpp
+++ b/catkinkeel/edge/reading_duty.hpp
@@ -20,16 +20,13 @@
 namespace catkinkeel::edge
 {
 
-/// The store was asked in vain.
-struct contact_lost
+/// News of the store for the catalogue of targets and terms.
+struct reading
 {
-    friend auto operator<=>(const contact_lost&, const contact_lost&) = default;
+    /// Null if the store was asked in vain.
+    std::shared_ptr<const steering::metadata_update> update;
 };
 
-/// News of the store for the catalogue of targets and terms.
-using reading = std::variant<std::shared_ptr<const steering::metadata_update>,
-                             contact_lost>;
-
 /// Updates that wait to be applied.
 inline constexpr std::size_t reading_ring_size = 64;
 
--- a/catkinkeel/event/catalogue.cpp
+++ b/catkinkeel/event/catalogue.cpp
@@ -144,6 +144,10 @@
         "the metadata store is out of reach; a peer's snapshot of revision "
         "{revision} replaces revision {former}",
         "Check the network between this VM and the store."},
+    event_definition{
+        number::snapshot_failed, "snapshot_failed", info, change::none, minute,
+        "no snapshot could be had from another daemon: {reason}",
+        "None, if other daemons were down or starting too; it is asked again."},
 
     event_definition{number::member_joined, "member_joined", info,
                      change::member, 0,
--- a/catkinkeel/event/catalogue.hpp
+++ b/catkinkeel/event/catalogue.hpp
@@ -46,6 +46,7 @@
     entry_rejected = 2012,
     metadata_history_lost = 2013,
     snapshot_taken = 2014,
+    snapshot_failed = 2015,
 
     member_joined = 3001,
     member_suspect = 3002,
--- a/catkinkeel/ring/bounded_ring.hpp
+++ b/catkinkeel/ring/bounded_ring.hpp
@@ -49,6 +49,27 @@
         return true;
     }
 
+    /// Adds `element`; the oldest one is dropped if the ring is full. For rings
+    /// of which only the newest elements matter. Returns false if the ring was
+    /// closed.
+    bool push_newest(T element)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            if (closed_)
+            {
+                return false;
+            }
+            if (elements_.full())
+            {
+                elements_.pop_front();
+            }
+            elements_.push_back(std::move(element));
+        }
+        filled_.notify_one();
+        return true;
+    }
+
     /// Adds `element`, waiting for room. Returns false if the ring was closed.
     bool push(T element)
     {
--- a/catkinkeel/ring/ring_test.cpp
+++ b/catkinkeel/ring/ring_test.cpp
@@ -60,3 +60,18 @@
     ring.close();
     CHECK_FALSE(ring.try_pop());
 }
+
+TEST_CASE("a ring of which only the newest matters never refuses it")
+{
+    // Guards against a reader that sees old news while the newest was dropped.
+    bounded_ring<int> ring(2);
+    for (int i = 1; i <= 5; ++i)
+    {
+        CHECK(ring.push_newest(i));
+    }
+    CHECK(ring.try_pop() == 4);
+    CHECK(ring.try_pop() == 5);
+    CHECK_FALSE(ring.try_pop());
+    ring.close();
+    CHECK_FALSE(ring.push_newest(6));
+}
