Discard packets of flows that the other side of a cut may have opened

Cause of the known red case: both sides of a cut hold the same buckets. While a reference moves, each side opens flows that the other has no record of, and the other routed their packets by its base table, which may name another service. Ruled out: takeover with a replica (marking moved references uncertain there changed nothing), and the restart before the cut.

While a listed VM is believed dead, and until its flows are handed over, packets without a record are discarded for a reference that moved since, or whose base is kept from an earlier set; for 2 s after a set took effect, moved references open by the former service, as the other side may still have the earlier set.

--- a/catkinkeel/flow/balancer.cpp
+++ b/catkinkeel/flow/balancer.cpp
@@ -201,7 +201,7 @@
     const bucket_id bucket = bucket_of(hash);
     const base_tables& base = lineages_[buckets_[bucket.value].lineage].base;
     const base_key key = key_of(facts.key, bucket);
-    if (base.uncertain(key.address))
+    if (base.uncertain(key.address) || opened_elsewhere(base, key))
     {
         return discard{discard_reason::uncertain_service};
     }
@@ -236,10 +236,10 @@
     }
     const reference* ref = context_.set->find_reference(facts.key.service_side,
                                                         facts.key.transport);
-    const service* wanted = ref == nullptr
-                                ? nullptr
-                                : context_.set->find_service(
-                                      service_to_open(*ref, bucket_of(hash)));
+    const service* wanted =
+        ref == nullptr ? nullptr
+                       : context_.set->find_service(
+                             service_to_open(*ref, bucket_of(hash), now));
     if (wanted == nullptr)
     {
         return discard{discard_reason::no_reference};
--- a/catkinkeel/flow/balancer.hpp
+++ b/catkinkeel/flow/balancer.hpp
@@ -249,6 +249,17 @@
         /// may be opened.
         bool settled = false;
         std::map<vm_id, std::uint64_t> marks;
+        /// When the set with the latest move took effect here.
+        instant at{};
+    };
+
+    /// Since when VMs are believed dead that may be cut off instead, hold the
+    /// same buckets as this one and open flows that it does not know.
+    struct possible_split
+    {
+        instant since;
+        /// Their flows may be open and not handed over until then.
+        instant until;
     };
 
     /// Flows that sweep counts against one override.
@@ -304,15 +315,18 @@
     [[nodiscard]] std::uint32_t ticks(instant now) const;
     void retire_targets(const published_set& next, instant now);
     std::set<target_id> forget_replaced_targets(const published_set& next);
-    void note_moves(const std::vector<base_change>& changes);
+    void note_moves(const std::vector<base_change>& changes, instant now);
     void settle_moves();
     void unsettle_moves(replication_stream& stream);
     [[nodiscard]] bool mixed_anywhere(const public_address& address) const;
     [[nodiscard]] std::vector<public_address> moved_addresses() const;
     [[nodiscard]] bool standby_knows(bucket_id bucket,
                                      const public_address& address) const;
-    [[nodiscard]] service_id service_to_open(const reference& ref,
-                                             bucket_id bucket) const;
+    [[nodiscard]] service_id
+    service_to_open(const reference& ref, bucket_id bucket, instant now) const;
+    void note_split(instant now);
+    [[nodiscard]] bool opened_elsewhere(const base_tables& base,
+                                        const base_key& key) const;
 
     // balancer_sweep.cpp: periodic work
     void sweep(instant now);
@@ -417,6 +431,7 @@
     std::map<vm_id, replication_stream> streams_;
     std::uint64_t next_stream_session_;
     claim_round claims_;
+    std::optional<possible_split> split_;
     struct handover_to
     {
         handover_stream stream;
--- a/catkinkeel/flow/balancer_holdings.cpp
+++ b/catkinkeel/flow/balancer_holdings.cpp
@@ -44,6 +44,7 @@
         self_before->incarnation != self_after->incarnation;
     const bucket_map before = map_;
     view_ = view;
+    note_split(now);
     update_map(now);
     for (const vm_id vm : died)
     {
--- a/catkinkeel/flow/balancer_sets.cpp
+++ b/catkinkeel/flow/balancer_sets.cpp
@@ -9,6 +9,16 @@
 namespace catkinkeel
 {
 
+namespace
+{
+
+/// Sets take effect within this time of each other.
+constexpr duration set_spread = 2s;
+/// Sides of a cut notice it within this time of each other.
+constexpr duration detection_spread = 3s;
+
+} // namespace
+
 placement_plan_ptr balancer::make_plan(const published_set& set) const
 {
     static const placement_plan none;
@@ -45,7 +55,7 @@
         }
     }
     replicas_.advance(changes);
-    note_moves(changes);
+    note_moves(changes, now);
     for (lineage& each : lineages_)
     {
         each.base.forget_targets(replaced);
@@ -88,7 +98,7 @@
     return replaced;
 }
 
-void balancer::note_moves(const std::vector<base_change>& changes)
+void balancer::note_moves(const std::vector<base_change>& changes, instant now)
 {
     std::set<public_address> moved;
     for (const base_change& change : changes)
@@ -111,6 +121,7 @@
         // still open by the service before that.
         at->second.settled = false;
         at->second.marks.clear();
+        at->second.at = now;
         for (auto& [vm, stream] : streams_)
         {
             stream.unsettle(address);
@@ -199,11 +210,48 @@
     return stream != streams_.end() && stream->second.announced(address);
 }
 
-service_id balancer::service_to_open(const reference& ref,
-                                     bucket_id bucket) const
+void balancer::note_split(instant now)
+{
+    const bool may_be_cut_off = std::ranges::any_of(
+        view_.members, [](const member& each)
+        { return each.listed && each.state == liveness::dead; });
+    if (may_be_cut_off)
+    {
+        const instant since = split_ ? split_->since : now;
+        split_ = possible_split{since, now + settings_.idle_timeout};
+    }
+    else if (split_ && now >= split_->until)
+    {
+        split_.reset();
+    }
+}
+
+bool balancer::opened_elsewhere(const base_tables& base,
+                                const base_key& key) const
+{
+    if (!split_)
+    {
+        return false;
+    }
+    // Without a move since the split all holders open by the same service, and
+    // the base names it unless it is kept from an earlier set.
+    const auto move = moves_.find(key.address);
+    return base.mixed(key, context_) ||
+           (move != moves_.end() &&
+            move->second.at + set_spread + detection_spread >= split_->since);
+}
+
+service_id balancer::service_to_open(const reference& ref, bucket_id bucket,
+                                     instant now) const
 {
     const public_address address{ref.public_endpoint, ref.transport};
     const auto move = moves_.find(address);
+    // A holder on the other side of a split may have the earlier set still and
+    // no record of this flow.
+    if (split_ && move != moves_.end() && now - move->second.at < set_spread)
+    {
+        return move->second.former;
+    }
     // A standby that takes over without knowing of the move would send packets
     // of the new service's flows to the former service.
     return move == moves_.end() || move->second.settled ||
--- a/catkinkeel/flow/balancer_sweep.cpp
+++ b/catkinkeel/flow/balancer_sweep.cpp
@@ -26,6 +26,7 @@
     {
         return;
     }
+    note_split(now);
     forget_silent_holders(now);
     replicas_.expire(map_, self_, now);
     complete_switches();
--- a/catkinkeel/flow/failure_test.cpp
+++ b/catkinkeel/flow/failure_test.cpp
@@ -95,6 +95,30 @@
     CHECK(s.settles());
 }
 
+TEST_CASE("both sides of a cut misdirect no flow of a reference that moves")
+{
+    // Each side takes the other's buckets over and opens flows that the other
+    // does not know, by the former or by the new service. Routers spread a
+    // flow's packets over both sides.
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        INFO("seed " << seed);
+        site s({.seed = seed});
+        s.run(3s);
+        s.group.partition(
+            [](vm_id a, vm_id b)
+            { return (a.value / 10 == 2) != (b.value / 10 == 2); });
+        s.run(400ms);
+        s.objects.references[0].service = {2};
+        s.publish();
+        s.run(6s);
+        s.group.partition(nullptr);
+        s.run(5s);
+        s.callers.send_all();
+        CHECK(s.callers.counts().misdirected == 0);
+    }
+}
+
 TEST_CASE("no packet is relayed into a data centre that is out after 3 s")
 {
     site s;
