Guess no service for regained buckets that came without a handover

Cause: a VM that regained buckets and got no handover from the VM that had taken them over (its data centre left meanwhile) went on with its own base tables, and routed packets of flows opened there by the former service of a moved reference. Second cause, same test: after a change of standby the other holder opened flows by the former service long after the move, so all moved references are uncertain then, not only those with a kept base table.

Ruled out: learning of two sets at once (the traced VMs applied each set).

--- a/catkinkeel/flow/balancer.hpp
+++ b/catkinkeel/flow/balancer.hpp
@@ -349,6 +349,9 @@
     void review_holdings(instant now);
     void begin_claims(instant now);
     void take_unheld(instant now);
+    /// Moves doubted buckets, whose other holder has not answered, to a
+    /// lineage that guesses no service of a reference that moved.
+    void distrust_doubted(instant now);
     void fail_over(const bucket_map& before, vm_id dead, instant now);
     void hold(bucket_id bucket, std::uint16_t lineage);
     void release(bucket_id bucket);
@@ -359,6 +362,8 @@
                                              instant now) const;
     [[nodiscard]] lineage lineage_without_replica(bucket_id bucket,
                                                   instant now) const;
+    /// For flows of another holder, which may have opened by either service.
+    void mark_moves_uncertain(base_tables& base) const;
     std::optional<bucket_replica> take_replica(bucket_id bucket);
     void install(bucket_id bucket, std::optional<bucket_replica> replica,
                  instant now);
--- a/catkinkeel/flow/balancer_holdings.cpp
+++ b/catkinkeel/flow/balancer_holdings.cpp
@@ -287,6 +287,10 @@
     {
         return;
     }
+    if (claims_.take_unanswered())
+    {
+        distrust_doubted(now);
+    }
     for (std::uint32_t i = 0; i < bucket_count; ++i)
     {
         const bucket_id bucket{static_cast<std::uint16_t>(i)};
@@ -298,6 +302,35 @@
     }
 }
 
+void balancer::distrust_doubted(instant now)
+{
+    std::map<std::uint16_t, std::uint16_t> distrusted;
+    for (bucket_slot& slot : buckets_)
+    {
+        if (!slot.doubted)
+        {
+            continue;
+        }
+        auto found = distrusted.find(slot.lineage);
+        if (found == distrusted.end())
+        {
+            lineage unsure{.base = lineages_[slot.lineage].base,
+                           .unseen_until = now + settings_.idle_timeout,
+                           .by_failover = true};
+            mark_moves_uncertain(unsure.base);
+            const std::uint16_t former = slot.lineage;
+            const std::uint16_t index = find_or_add_lineage(std::move(unsure));
+            found = distrusted.emplace(former, index).first;
+        }
+        --lineages_[slot.lineage].buckets;
+        ++lineages_[found->second].buckets;
+        slot.lineage = found->second;
+        // Its standby is told the bucket's new lineage.
+        slot.standby.reset();
+        standbys_stale_ = true;
+    }
+}
+
 std::optional<bucket_replica> balancer::take_replica(bucket_id bucket)
 {
     for (const member& each : view_.members)
@@ -347,11 +380,16 @@
     {
         taken.unseen_until = now + settings_.idle_timeout;
     }
+    mark_moves_uncertain(taken.base);
+    return taken;
+}
+
+void balancer::mark_moves_uncertain(base_tables& base) const
+{
     for (const auto& [address, move] : moves_)
     {
-        taken.base.mark_uncertain(address);
+        base.mark_uncertain(address);
     }
-    return taken;
 }
 
 std::uint16_t balancer::find_or_add_lineage(lineage wanted)
--- a/catkinkeel/flow/balancer_sets.cpp
+++ b/catkinkeel/flow/balancer_sets.cpp
@@ -246,16 +246,20 @@
 {
     const public_address address{ref.public_endpoint, ref.transport};
     const auto move = moves_.find(address);
-    // A holder on the other side of a split may have the earlier set still and
-    // no record of this flow.
-    if (split_ && move != moves_.end() && now - move->second.at < set_spread)
+    if (move == moves_.end())
     {
-        return move->second.former;
+        return ref.service;
+    }
+    // Holders on both sides of a split open by the same service, although they
+    // do not hear of each other: by the new one once all have the set.
+    if (split_)
+    {
+        return now - move->second.at < set_spread ? move->second.former
+                                                  : ref.service;
     }
     // A standby that takes over without knowing of the move would send packets
     // of the new service's flows to the former service.
-    return move == moves_.end() || move->second.settled ||
-                   standby_knows(bucket, address)
+    return move->second.settled || standby_knows(bucket, address)
                ? ref.service
                : move->second.former;
 }
--- a/catkinkeel/flow/failure_test.cpp
+++ b/catkinkeel/flow/failure_test.cpp
@@ -119,6 +119,35 @@
     }
 }
 
+TEST_CASE("a VM that regains buckets guesses no service without their handover")
+{
+    // Data centre 3 leaves and comes back while 2 leaves. VMs of 2 that took
+    // buckets over without a handover do not answer the claims of 3 in time.
+    for (const std::uint64_t seed : {2ULL, 17ULL, 465724438660366747ULL})
+    {
+        INFO("seed " << seed);
+        site s({.seed = seed});
+        s.run(1s, 20);
+        s.objects.references[0].service = {2};
+        s.publish();
+        s.run(3s);
+        s.objects.targets[3].wish = target_wish::drain;
+        s.publish();
+        s.run(3s);
+        s.objects.data_centres[2].wish = data_centre_wish::out_of_service;
+        s.publish();
+        s.run(400ms);
+        s.publish();
+        s.run(3s);
+        s.objects.data_centres[2].wish = data_centre_wish::in_service;
+        s.objects.data_centres[1].wish = data_centre_wish::out_of_service;
+        s.publish();
+        s.run(6s);
+        s.callers.send_all();
+        CHECK(s.callers.counts().misdirected == 0);
+    }
+}
+
 TEST_CASE("no packet is relayed into a data centre that is out after 3 s")
 {
     site s;
--- a/catkinkeel/flow/handover.hpp
+++ b/catkinkeel/flow/handover.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace catkinkeel
@@ -25,10 +26,17 @@
     void begin(std::set<vm_id> holders, std::uint64_t map_fingerprint,
                instant now);
 
-    /// A VM that can no longer hold anything need not answer.
+    /// No longer waits for a holder that died or does not answer.
     void forget(vm_id holder)
     {
-        pending_.erase(holder);
+        unanswered_ |= pending_.erase(holder) > 0;
+    }
+
+    /// Whether a holder was forgotten since the last call, so that flows may
+    /// be open that no handover named.
+    bool take_unanswered()
+    {
+        return std::exchange(unanswered_, false);
     }
 
     /// VMs to which the claim is to be sent now: those that have not answered
@@ -87,6 +95,7 @@
     std::uint64_t round_ = 0;
     std::uint64_t map_fingerprint_ = 0;
     instant begun_at_{};
+    bool unanswered_ = false;
     std::set<vm_id> pending_;
     std::map<vm_id, instant> asked_at_;
     std::map<vm_id, instant> heard_at_;
