--- a/spec/check.sh
+++ b/spec/check.sh
@@ -16,6 +16,7 @@
     "cold_start|at most one VM acts as steward of a cold target|2 VMs, 10 s units, list age 30 s, delay 10 s, any restarts and partitions|NO_LIST_AGE NO_LISTED NO_HOLD NO_GAP_RESET LISTED_BY_CLOCK FLAPPING LAG_IGNORED PAGE_RULE"
     "ramp|successive stewards stay below one ramp|4 stewards, capacity 32, steps of 5 s|NO_WAIT"
     "follow|daemons that follow stale replicas learn of a change within the bound|3 daemons, 1 change, 1 stop, any loss of notices, any staleness|NO_OWN_CONFIRM NO_BEHIND LONG_FOLLOW AGE_FORGOTTEN"
+    "token|packets of a flow find its target by the token, and reach no other service|2 targets, 1 flow, 1 daemon, 1 move, 1 reused address, any reads and forged tokens, 12 steps|NO_IDENTITY NO_PERMITTED FORGET_FORMER FORGET_WITHDRAWN"
     "grants|a steward, the holders of its grants and the next steward stay below one ramp|3 VMs, 2 stewards, capacity 16, 1 restart, any loss, delay and order|FORGET_OUTSTANDING BY_VM NO_INCREMENT"
 )
 
