Add a fault soak of the edge daemon

Real processes on loopback between stand-ins of store, routers, callers and backend servers. A schedule from the seed stops, kills, pauses and reloads daemons, delays, resets, silences and cuts their links to the store one way, and changes targets, references and data centres; promises are checked from what callers and backend servers see.

--- /dev/null
+++ b/soak/run.sh
@@ -0,0 +1,51 @@
+#!/usr/bin/env bash
+# Soaks the edge daemon: starts real processes on loopback and ends only those.
+# Usage: soak/run.sh BUILD LOGS [options of soak_site, e.g. --seed 7]
+# LOGS keeps the log of each daemon and of the soak. Exit status 1 if a promise
+# was broken.
+set -euo pipefail
+build=$1
+logs=$2
+shift 2
+mkdir -p "$logs"
+"$build/soak/soak_site" --prepare "$logs" "$@"
+
+pids=()
+coproc site { exec "$build/soak/soak_site" "$@" 2>"$logs/soak.log"; }
+site_pid=$site_PID
+exec {orders}<&"${site[0]}" {exits}>&"${site[1]}"
+
+start() {
+    local pid_file="$logs/vm$1.pid"
+    rm -f "$pid_file"
+    (
+        "$build/apps/catkinkeel-edge" --settings "$logs/vm$1.yaml" \
+            >>"$logs/vm$1.log" 2>&1 &
+        echo $! >"$pid_file.new"
+        mv "$pid_file.new" "$pid_file"
+        status=0
+        wait $! 2>/dev/null || status=$?
+        echo "exited $1 $status" >&"$exits" 2>/dev/null || true
+    ) &
+    while [ ! -e "$pid_file" ]; do sleep 0.01; done
+    pids[$1]=$(cat "$pid_file")
+}
+
+while read -r order daemon <&"$orders"; do
+    case $order in
+    start) start "$daemon" ;;
+    term) kill -TERM "${pids[$daemon]}" || true ;;
+    kill) kill -KILL "${pids[$daemon]}" || true ;;
+    pause) kill -STOP "${pids[$daemon]}" || true ;;
+    resume) kill -CONT "${pids[$daemon]}" || true ;;
+    reload) kill -HUP "${pids[$daemon]}" || true ;;
+    esac
+done
+status=0
+wait "$site_pid" || status=$?
+for pid in "${pids[@]}"; do
+    kill -KILL "$pid" 2>/dev/null || true
+done
+wait
+grep -E '^(seed|BROKEN)' "$logs/soak.log" || tail -n 5 "$logs/soak.log"
+exit "$status"
