--- a/catkinkeel/daemon/status_board.cpp
+++ b/catkinkeel/daemon/status_board.cpp
@@ -13,12 +13,6 @@
     return std::chrono::duration<double>(at.time_since_epoch()).count();
 }
 
-std::uint64_t milliseconds_of(duration time)
-{
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
 labelled_values by_reason(const std::vector<reason_count>& counts)
 {
     labelled_values values;
@@ -94,8 +88,8 @@
         document.flows.refused += each.count;
     }
     document.replication = {.backlog = decide->flows.replication_backlog,
-                            .oldest_ms =
-                                milliseconds_of(decide->replication_oldest),
+                            .oldest_ms = static_cast<std::uint64_t>(
+                                in_milliseconds(decide->replication_oldest)),
                             .held_for_others = decide->flows.replicas_held};
     document.control = {.budget_per_second = facts.control_budget,
                         .sent_last_minute = peers->sent_last_minute,
--- a/catkinkeel/edge/edge_daemon.cpp
+++ b/catkinkeel/edge/edge_daemon.cpp
@@ -2,7 +2,6 @@
 
 #include "catkinkeel/clock/clock.hpp"
 
-#include <chrono>
 #include <string>
 #include <thread>
 
@@ -15,11 +14,6 @@
 /// How often a departing daemon looks whether packets still come.
 constexpr duration departure_check = 100ms;
 
-std::string seconds_text(duration value)
-{
-    return std::to_string(std::chrono::duration<double>(value).count());
-}
-
 } // namespace
 
 bool may_end(const departure_settings& settings, duration since,
@@ -104,9 +98,9 @@
     const instant started = boot_now();
     ready_->set_departing();
     metrics_->ready.Set(0);
-    events_->report(
-        event_number::departure_started,
-        {field("seconds", seconds_text(settings_.departure.at_most))});
+    events_->report(event_number::departure_started,
+                    {field("seconds", std::to_string(in_seconds(
+                                          settings_.departure.at_most)))});
     for (;;)
     {
         const instant now = boot_now();
@@ -117,8 +111,9 @@
         }
         std::this_thread::sleep_for(departure_check);
     }
-    events_->report(event_number::shutdown_finished,
-                    {field("seconds", seconds_text(boot_now() - started))});
+    events_->report(
+        event_number::shutdown_finished,
+        {field("seconds", std::to_string(in_seconds(boot_now() - started)))});
 }
 
 } // namespace catkinkeel::edge
--- a/catkinkeel/edge/edge_metrics.cpp
+++ b/catkinkeel/edge/edge_metrics.cpp
@@ -51,24 +51,35 @@
         .Add({}, latency_bounds());
 }
 
-prometheus::Family<prometheus::Counter>& family(prometheus::Registry& registry,
-                                                const std::string& name,
-                                                const std::string& help)
+/// A counter for each reason of an enumeration with `Count` enumerators.
+template <class Reason, std::size_t Count>
+std::array<prometheus::Counter*, Count>
+by_reason(prometheus::Registry& registry, const std::string& name,
+          const std::string& help)
 {
-    return prometheus::BuildCounter()
-        .Name("catkinkeel_" + name)
-        .Help(help)
-        .Register(registry);
+    auto& family = prometheus::BuildCounter()
+                       .Name("catkinkeel_" + name)
+                       .Help(help)
+                       .Register(registry);
+    std::array<prometheus::Counter*, Count> counters{};
+    for (std::size_t i = 0; i < Count; ++i)
+    {
+        const auto reason = to_string(static_cast<Reason>(i));
+        counters.at(i) = &family.Add({{"reason", std::string(reason)}});
+    }
+    return counters;
 }
 
 } // namespace
 
 edge_metrics::edge_metrics()
     : registry_(std::make_shared<prometheus::Registry>()),
-      refused_(family(*registry_, "flows_refused_total",
-                      "Opening packets refused, by reason")),
-      discarded_(family(*registry_, "packets_discarded_total",
-                        "Packets dropped on purpose, by reason")),
+      refused_(by_reason<steering::refusal_reason, steering::refusal_reasons>(
+          *registry_, "flows_refused_total",
+          "Opening packets refused, by reason")),
+      discarded_(by_reason<steering::discard_reason, steering::discard_reasons>(
+          *registry_, "packets_discarded_total",
+          "Packets dropped on purpose, by reason")),
       packets_received(counter(*registry_, "packets_received_total",
                                "Datagrams received from the routers")),
       packets_forwarded(counter(*registry_, "packets_forwarded_total",
@@ -124,14 +135,4 @@
     return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
 
-prometheus::Counter& edge_metrics::refused(std::string_view reason)
-{
-    return refused_.Add({{"reason", std::string(reason)}});
-}
-
-prometheus::Counter& edge_metrics::discarded(std::string_view reason)
-{
-    return discarded_.Add({{"reason", std::string(reason)}});
-}
-
 } // namespace catkinkeel::edge
--- a/catkinkeel/edge/edge_metrics.hpp
+++ b/catkinkeel/edge/edge_metrics.hpp
@@ -2,14 +2,17 @@
 
 // Counters, gauges and latency histograms of an edge daemon.
 
+#include "catkinkeel/steering/steerer.hpp"
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <array>
+#include <cstddef>
 #include <memory>
 #include <string>
-#include <string_view>
 
 namespace catkinkeel::edge
 {
@@ -25,13 +28,20 @@
     [[nodiscard]] std::string text() const;
 
     /// The counter of refused or discarded packets with this reason.
-    prometheus::Counter& refused(std::string_view reason);
-    prometheus::Counter& discarded(std::string_view reason);
+    prometheus::Counter& refused(steering::refusal_reason reason)
+    {
+        return *refused_.at(static_cast<std::size_t>(reason));
+    }
+    prometheus::Counter& discarded(steering::discard_reason reason)
+    {
+        return *discarded_.at(static_cast<std::size_t>(reason));
+    }
 
 private:
     std::shared_ptr<prometheus::Registry> registry_;
-    prometheus::Family<prometheus::Counter>& refused_;
-    prometheus::Family<prometheus::Counter>& discarded_;
+    /// By the reason's number.
+    std::array<prometheus::Counter*, steering::refusal_reasons> refused_;
+    std::array<prometheus::Counter*, steering::discard_reasons> discarded_;
 
 public:
     prometheus::Counter& packets_received;
--- a/catkinkeel/edge/packet_duty.cpp
+++ b/catkinkeel/edge/packet_duty.cpp
@@ -2,7 +2,6 @@
 
 #include "catkinkeel/clock/clock.hpp"
 
-#include <chrono>
 #include <string>
 
 namespace catkinkeel::edge
@@ -23,16 +22,6 @@
 /// Wait for packets if nothing is to be passed on.
 constexpr duration longest_wait = 1h;
 
-double seconds_of(duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
-std::int64_t milliseconds_of(duration value)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 /// The flow's id in log lines: caller>public address.
 std::string name_of(const flow_key& key)
 {
@@ -117,7 +106,6 @@
                random_source(wall_nanoseconds())),
       journal_(settings.flow_lines_per_second, std::move(events),
                std::move(metrics)),
-      answer_limit_(settings.steering.observer.answer_limit),
       storage_(batch_capacity),
       thread_([this] { run(); })
 {
@@ -212,7 +200,7 @@
     socket_->send(to_send_);
     const instant sent = boot_now();
     steerer_.mark_sent(sent);
-    metrics_->batch_seconds.Observe(seconds_of(sent - now_));
+    metrics_->batch_seconds.Observe(in_seconds(sent - now_));
 }
 
 void packet_duty::handle(const received_datagram& datagram)
@@ -232,11 +220,11 @@
     }
     if (result.handshake_took)
     {
-        metrics_->handshake_seconds.Observe(seconds_of(*result.handshake_took));
+        metrics_->handshake_seconds.Observe(in_seconds(*result.handshake_took));
     }
     if (result.exchange_took)
     {
-        metrics_->exchange_seconds.Observe(seconds_of(*result.exchange_took));
+        metrics_->exchange_seconds.Observe(in_seconds(*result.exchange_took));
     }
 }
 
@@ -257,7 +245,7 @@
                       const steering::flow_packet& packet, packet_view bytes)
 {
     to_send_.push_back(codec_->encode_refusal(bytes, next_storage()));
-    metrics_->refused(to_string(no.reason)).Increment();
+    metrics_->refused(no.reason).Increment();
     if (journal_.admit(now_))
     {
         journal_.add(event_number::flow_refused,
@@ -272,7 +260,7 @@
                       const steering::flow_packet& packet,
                       packet_view /*bytes*/)
 {
-    metrics_->discarded(to_string(why.reason)).Increment();
+    metrics_->discarded(why.reason).Increment();
     if (journal_.admit(now_))
     {
         const auto& view = steerer_.view();
@@ -312,6 +300,7 @@
 
 void packet_duty::settle(instant drained)
 {
+    const duration answer_limit = steerer_.observer().settings().answer_limit;
     for (const steering::silence_noticed& each : steerer_.settle(drained))
     {
         metrics_->targets_silent.Increment();
@@ -324,7 +313,7 @@
         journal_.add(event_number::target_silent,
                      {field("target", target == nullptr ? "?" : target->name),
                       field("flow", name_of(each.key)),
-                      field("milliseconds", milliseconds_of(answer_limit_)),
+                      field("milliseconds", in_milliseconds(answer_limit)),
                       field("failures", each.failures)});
     }
     metrics_->flows_tracked.Set(static_cast<double>(steerer_.tracked_flows()));
@@ -334,7 +323,7 @@
 {
     const auto& view = steerer_.view();
     return view
-               ? std::to_string(milliseconds_of(now_ - view->parts().confirmed))
+               ? std::to_string(in_milliseconds(now_ - view->parts().confirmed))
                : "?";
 }
 
--- a/catkinkeel/edge/packet_duty.hpp
+++ b/catkinkeel/edge/packet_duty.hpp
@@ -95,7 +95,6 @@
     std::shared_ptr<edge_metrics> metrics_;
     steering::steerer steerer_;
     flow_journal journal_;
-    duration answer_limit_;
     /// Storage of packets that are changed on their way, for one batch.
     std::vector<packet_storage> storage_;
     std::size_t storage_used_ = 0;
--- a/catkinkeel/edge/reading_duty.cpp
+++ b/catkinkeel/edge/reading_duty.cpp
@@ -10,25 +10,10 @@
 namespace catkinkeel::edge
 {
 
-namespace
-{
-
-/// Doublings after which the delay stays the same; keeps the shift in range.
-constexpr std::uint32_t most_doublings = 10;
-
-double seconds_of(duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
-} // namespace
-
 duration retry_delay(const reading_settings& settings, std::uint32_t failures)
 {
-    const std::uint32_t doublings =
-        std::min(failures == 0 ? 0 : failures - 1, most_doublings);
-    return std::min(settings.retry_first * (1U << doublings),
-                    settings.retry_at_most);
+    return doubled_delay(settings.retry_first, failures == 0 ? 0 : failures - 1,
+                         settings.retry_at_most);
 }
 
 steering::metadata_update merge(steering::metadata_update first,
@@ -226,7 +211,7 @@
     const instant started = boot_now();
     metadata_result result = (this->*read)(consistency, after, wait);
     metrics_->store_reads.Increment();
-    metrics_->store_read_seconds.Observe(seconds_of(boot_now() - started));
+    metrics_->store_read_seconds.Observe(in_seconds(boot_now() - started));
     const auto* update = std::get_if<steering::metadata_update>(&result);
     if (consistency == read_consistency::newest)
     {
@@ -250,7 +235,7 @@
             boot_now() - unreachable_since_);
         events_->report(event_number::configuration_reachable,
                         {field("endpoint", source_->name()),
-                         field("seconds", std::to_string(seconds_of(away)))});
+                         field("seconds", std::to_string(in_seconds(away)))});
         failures_ = 0;
     }
     metrics_->store_confirmed.SetToCurrentTime();
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -47,14 +47,14 @@
 
 std::string_view to_string(refusal_reason reason)
 {
-    constexpr std::array<std::string_view, 4> names{
+    constexpr std::array<std::string_view, refusal_reasons> names{
         "no_reference", "reference_removed", "no_target", "overloaded"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
 std::string_view to_string(discard_reason reason)
 {
-    constexpr std::array<std::string_view, 4> names{
+    constexpr std::array<std::string_view, discard_reasons> names{
         "no_view", "unknown_reference", "unknown_token", "overloaded"};
     return names.at(static_cast<std::size_t>(reason));
 }
@@ -143,7 +143,7 @@
                                const view_reference& reference, instant now)
 {
     const service_id service = choose_service(packet, reference);
-    const std::vector<candidate> candidates =
+    const std::span<const candidate> candidates =
         candidates_for(service, flows_.find(packet.key), now);
     const auto position = policy_->choose(candidates, random_);
     if (!position)
@@ -197,18 +197,16 @@
     return reference.choices.back().service;
 }
 
-std::vector<candidate> steerer::candidates_for(service_id service,
-                                               const tracked_flow* before,
-                                               instant now)
+std::span<const candidate> steerer::candidates_for(service_id service,
+                                                   const tracked_flow* before,
+                                                   instant now)
 {
     const auto open = view_->open_targets(service);
     const std::size_t count = std::min(open.size(), max_candidates);
     const std::size_t first =
         open.size() > max_candidates ? random_.below(open.size()) : 0;
-    std::vector<candidate> candidates;
-    std::vector<target_load> loads;
-    candidates.reserve(count);
-    loads.reserve(count);
+    candidates_.clear();
+    loads_.clear();
     for (std::size_t i = 0; i < count; ++i)
     {
         const std::uint32_t index = open[(first + i) % open.size()];
@@ -226,21 +224,21 @@
         }
         const double limit =
             view_->parts().services[service.value].cold_flows_per_second;
-        candidates.push_back({.index = index,
-                              .trust = trust,
-                              .slots = std::max(target.slots, 1U),
-                              .in_flight = load.in_flight,
-                              .nearby = own_data_centre_ == target.data_centre,
-                              .cold = cold,
-                              .cold_limited = cold && limit > 0});
-        loads.push_back(load);
+        candidates_.push_back({.index = index,
+                               .trust = trust,
+                               .slots = std::max(target.slots, 1U),
+                               .in_flight = load.in_flight,
+                               .nearby = own_data_centre_ == target.data_centre,
+                               .cold = cold,
+                               .cold_limited = cold && limit > 0});
+        loads_.push_back(load);
     }
-    const auto mean = mean_exchange(loads);
-    for (std::size_t i = 0; i < candidates.size(); ++i)
+    const auto mean = mean_exchange(loads_);
+    for (std::size_t i = 0; i < candidates_.size(); ++i)
     {
-        candidates[i].slowness = slowness(loads[i], mean);
+        candidates_[i].slowness = slowness(loads_[i], mean);
     }
-    return candidates;
+    return candidates_;
 }
 
 void steerer::record_opening(const flow_packet& packet,
@@ -277,49 +275,46 @@
         return {.what = discard{discard_reason::unknown_token}};
     }
     steering_result result{.what = to_target(*target)};
-    note_packet(packet, *target, now, result);
-    if (packet.finishes || packet.aborts)
+    if (tracked_flow* flow = flows_.find(packet.key))
     {
-        note_end(packet, now, result);
+        note_packet(*flow, *target, now, result);
+        if (packet.finishes || packet.aborts)
+        {
+            note_end(*flow, packet, now, result);
+        }
     }
     return result;
 }
 
-void steerer::note_packet(const flow_packet& packet, const view_target& target,
+void steerer::note_packet(tracked_flow& flow, const view_target& target,
                           instant now, steering_result& result)
 {
-    tracked_flow* flow = flows_.find(packet.key);
-    if (flow == nullptr || flow->stage == flow_stage::established)
+    if (flow.stage == flow_stage::established)
     {
         return;
     }
-    if (flow->target != target.id)
+    if (flow.target != target.id)
     {
         // An earlier copy of the opening packet was answered after all.
-        stop_counting(*flow);
-        flow->target = target.id;
+        stop_counting(flow);
+        flow.target = target.id;
     }
-    start_counting(*flow);
-    flow->stage = flow_stage::established;
-    flow->established = now;
-    result.handshake_took = now - flow->last_opening;
+    start_counting(flow);
+    flow.stage = flow_stage::established;
+    flow.established = now;
+    result.handshake_took = now - flow.last_opening;
     observer_.answered(target, now);
 }
 
-void steerer::note_end(const flow_packet& packet, instant now,
-                       steering_result& result)
+void steerer::note_end(tracked_flow& flow, const flow_packet& packet,
+                       instant now, steering_result& result)
 {
-    tracked_flow* flow = flows_.find(packet.key);
-    if (flow == nullptr)
-    {
-        return;
-    }
-    if (flow->stage == flow_stage::established && packet.finishes)
+    if (flow.stage == flow_stage::established && packet.finishes)
     {
-        result.exchange_took = now - flow->established;
-        observer_.exchange_finished(flow->target, *result.exchange_took);
+        result.exchange_took = now - flow.established;
+        observer_.exchange_finished(flow.target, *result.exchange_took);
     }
-    stop_counting(*flow);
+    stop_counting(flow);
     flows_.erase(packet.key);
 }
 
--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -22,9 +22,11 @@
 #include "catkinkeel/steering/view.hpp"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -74,6 +76,7 @@
     /// the caller will not repeat this opening packet.
     overloaded
 };
+inline constexpr std::size_t refusal_reasons = 4;
 
 /// Tell the caller at once that its flow is not served. Only for packets whose
 /// request cannot have run.
@@ -96,6 +99,7 @@
     /// caller repeats its opening packet later.
     overloaded
 };
+inline constexpr std::size_t discard_reasons = 4;
 
 /// Drop the packet. The caller repeats it, and a later view may know better.
 struct discard
@@ -210,16 +214,17 @@
                           const view_reference& reference, instant now);
     steering_result follow(const flow_packet& packet,
                            const view_reference& reference, instant now);
-    void note_packet(const flow_packet& packet, const view_target& target,
-                     instant now, steering_result& result);
-    void note_end(const flow_packet& packet, instant now,
+    void note_packet(tracked_flow& flow, const view_target& target, instant now,
+                     steering_result& result);
+    void note_end(tracked_flow& flow, const flow_packet& packet, instant now,
                   steering_result& result);
     void record_opening(const flow_packet& packet, const view_target& target,
                         instant now);
     [[nodiscard]] service_id
     choose_service(const flow_packet& packet,
                    const view_reference& reference) const;
-    [[nodiscard]] std::vector<candidate>
+    /// Valid until the next call.
+    [[nodiscard]] std::span<const candidate>
     candidates_for(service_id service, const tracked_flow* before, instant now);
     [[nodiscard]] bool is_fresh(instant now) const;
     void start_counting(tracked_flow& flow);
@@ -229,6 +234,8 @@
     std::shared_ptr<const selection_policy> policy_;
     random_source random_;
     std::shared_ptr<const steering_view> view_;
+    std::vector<candidate> candidates_;
+    std::vector<target_load> loads_;
     std::optional<data_centre_id> own_data_centre_;
     target_observer observer_;
     flow_tracker flows_;
--- a/catkinkeel/steering/target_observer.cpp
+++ b/catkinkeel/steering/target_observer.cpp
@@ -12,14 +12,6 @@
 /// Part of a new exchange time in the smoothed one.
 constexpr int smoothing = 8;
 
-/// Doublings after which a delay stays the same; keeps the shift in range.
-constexpr std::uint32_t most_doublings = 8;
-
-duration doubled(duration first, std::uint32_t times, duration most)
-{
-    return std::min(first * (1U << std::min(times, most_doublings)), most);
-}
-
 void lower(std::uint32_t& count)
 {
     count -= count > 0 ? 1 : 0;
@@ -92,8 +84,8 @@
     {
         return false;
     }
-    load.avoid_until = now + doubled(settings_.avoid_first, load.failures,
-                                     settings_.avoid_at_most);
+    load.avoid_until = now + doubled_delay(settings_.avoid_first, load.failures,
+                                           settings_.avoid_at_most);
     ++load.failures;
 
     data_centre_state& place = data_centres_[target.data_centre];
@@ -104,8 +96,9 @@
     }
     if (is_lost(place) && now >= place.avoid_until)
     {
-        place.avoid_until = now + doubled(settings_.reach_first, place.rounds,
-                                          settings_.reach_at_most);
+        place.avoid_until =
+            now + doubled_delay(settings_.reach_first, place.rounds,
+                                settings_.reach_at_most);
         ++place.rounds;
     }
     return true;
