Keep flows at former services over a restart of the daemon

For the longest life of a flow after its first terms, a process lets packets that open no flow follow their token to a target of any service.

New tests in catalog_test and steerer_test fail without the rule.

--- a/catkinkeel/steering/catalog.cpp
+++ b/catkinkeel/steering/catalog.cpp
@@ -173,6 +173,10 @@
         return;
     }
     const instant until = now + settings_.flow_lifetime;
+    if (!terms_)
+    {
+        former_unknown_until_ = until;
+    }
     for (auto& [address, services] : permissions_)
     {
         for (auto& [name, granted] : services)
@@ -280,6 +284,10 @@
             at = targets_.erase(at);
         }
     }
+    if (former_unknown_until_ && *former_unknown_until_ <= now)
+    {
+        former_unknown_until_.reset();
+    }
     for (auto& [address, services] : permissions_)
     {
         std::erase_if(services,
@@ -306,6 +314,10 @@
             consider(target.until);
         }
     }
+    if (former_unknown_until_)
+    {
+        consider(*former_unknown_until_);
+    }
     for (const auto& [address, services] : permissions_)
     {
         for (const auto& [name, granted] : services)
@@ -349,7 +361,9 @@
 {
     view_parts parts{.version = terms_ ? terms_->version : set_version{},
                      .revision = revision_,
-                     .confirmed = confirmed_};
+                     .confirmed = confirmed_,
+                     .former_services_unknown =
+                         former_unknown_until_.has_value()};
     parts.services.resize(service_numbers_.size());
     for (const auto& [name, number] : service_numbers_)
     {
--- a/catkinkeel/steering/catalog.hpp
+++ b/catkinkeel/steering/catalog.hpp
@@ -174,6 +174,9 @@
 
     catalog_settings settings_;
     std::optional<published_terms> terms_;
+    /// Set with the first terms: until then flows may be open that began before
+    /// this process, at services that references named before.
+    std::optional<instant> former_unknown_until_;
     std::map<endpoint, std::map<std::string, permission>> permissions_;
     std::map<std::string, known_target> targets_;
     std::set<std::string> closed_;
--- a/catkinkeel/steering/catalog_test.cpp
+++ b/catkinkeel/steering/catalog_test.cpp
@@ -217,6 +217,22 @@
     CHECK(permitted() == 1);
 }
 
+TEST_CASE("a process that just started does not know former services")
+{
+    // Guards against flows that break when daemons restart after a move.
+    catalog known = site(1);
+    CHECK(known.make_view().parts().former_services_unknown);
+    CHECK(known.next_expiry() == at(60s));
+    known.expire(at(59s));
+    CHECK(known.make_view().parts().former_services_unknown);
+    known.expire(at(60s));
+    CHECK_FALSE(known.make_view().parts().former_services_unknown);
+    known.apply(
+        update(11, {terms_published{sample_terms(2, {{443, "platefiles"}})}}),
+        at(61s));
+    CHECK_FALSE(known.make_view().parts().former_services_unknown);
+}
+
 TEST_CASE("a removed reference has no choices and is forgotten in the end")
 {
     catalog known = site(1);
--- a/catkinkeel/steering/steerer_test.cpp
+++ b/catkinkeel/steering/steerer_test.cpp
@@ -148,6 +148,18 @@
     CHECK(std::get<forward>(old.what).target == opened.target);
 }
 
+TEST_CASE("a restarted daemon keeps flows at a former service")
+{
+    // The reference moved before the daemon started, so no answer of the store
+    // names the service of the flow.
+    bench site(2);
+    site.apply({target_announced{sample_target("p0", "platefiles", "a", 50)}},
+               at(1s));
+    const auto old = site.send(bench::data(1, token_of("p0")), at(2s));
+    REQUIRE(std::holds_alternative<forward>(old.what));
+    CHECK(site.name_of(std::get<forward>(old.what).target) == "p0");
+}
+
 TEST_CASE("a service without targets is refused at once")
 {
     bench site(1);
--- a/catkinkeel/steering/view.cpp
+++ b/catkinkeel/steering/view.cpp
@@ -85,7 +85,8 @@
     for (; row != tokens_.end() && row->token == token; ++row)
     {
         const view_target& target = parts_.targets[row->target];
-        if (std::ranges::binary_search(reference.permitted, target.service))
+        if (parts_.former_services_unknown ||
+            std::ranges::binary_search(reference.permitted, target.service))
         {
             return &target;
         }
--- a/catkinkeel/steering/view.hpp
+++ b/catkinkeel/steering/view.hpp
@@ -97,6 +97,9 @@
     std::uint64_t revision = 0;
     /// When the store last confirmed the view.
     instant confirmed;
+    /// The process has not lived as long as a flow may, so references may have
+    /// named services that it does not know of.
+    bool former_services_unknown = false;
     std::vector<view_reference> references;
     std::vector<view_target> targets;
     /// By `service_id`.
