Check the soak's plan and its files; take bounds and spreading from one place

Found when reading the diff: a network number above 255 was cut off silently, a settings file that cannot be written was not noticed, and one counter was never counted.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <span>
 #include <utility>
 
--- a/soak/callers.hpp
+++ b/soak/callers.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "soak/backends.hpp"
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -21,6 +21,29 @@
     return number == 0 ? "orderdesk" : "platefiles";
 }
 
+outcome<done> check(const soak_plan& plan)
+{
+    const auto fits = [](std::uint32_t count)
+    {
+        return count > 0 && count <= most_of_a_kind;
+    };
+    if (!fits(plan.daemons) || !fits(plan.targets))
+    {
+        return failure{failure_kind::invalid_input,
+                       "daemons and targets: 1 to " +
+                           std::to_string(most_of_a_kind)};
+    }
+    if (plan.rate == 0)
+    {
+        return failure{failure_kind::invalid_input, "rate: at least 1"};
+    }
+    if (plan.network == 0)
+    {
+        return failure{failure_kind::invalid_input, "network: 1 to 255"};
+    }
+    return done{};
+}
+
 std::string soak_plan::settings(std::uint32_t number) const
 {
     const auto quoted = [](const auto& value)
@@ -38,10 +61,12 @@
             "  readiness_address: " + quoted(readiness(number)) +
             "  control: " + quoted(endpoint{daemon(number), 8166}) +
             "bounds:\n  drain_ms: " + milliseconds(drain_bound) +
-            "\n  grace_s: 6\n  config_apply_ms: " + milliseconds(terms_bound) +
+            "\n  grace_s: " + std::to_string(grace / 1s) +
+            "\n  config_apply_ms: " + milliseconds(terms_bound) +
             "\n  evacuation_ms: " + milliseconds(evacuation_bound) +
-            "\n  flow_max_s: 60\nhash: \"steady\"\nforwarding_mode: \"echo\"\n"
-            "platform:\n  address: " +
+            "\n  flow_max_s: " + std::to_string(flow_lifetime / 1s) +
+            "\nhash: \"" + std::string(spreading()) +
+            "\"\nforwarding_mode: \"echo\"\nplatform:\n  address: " +
             quoted(proxy(number)) + "  forwarding_mode: \"read\"\n";
     return text;
 }
--- a/soak/plan.hpp
+++ b/soak/plan.hpp
@@ -9,17 +9,21 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace catkinkeel::soak
 {
 
-/// Bounds that the settings file gives to each daemon.
+/// Bounds that the settings file gives to each daemon; the platform's page has
+/// the same ones.
 inline constexpr duration terms_bound = 3s;
 inline constexpr duration evacuation_bound = 5s;
 inline constexpr duration drain_bound = 3s;
 inline constexpr duration grace = 6s;
-/// A process is undisturbed once it had this long to recover.
+/// Longest life of a flow.
+inline constexpr duration flow_lifetime = 60s;
+/// The platform's page gives a process so long to recover from a disturbance.
 inline constexpr duration recovery_bound = 12s;
 
 struct soak_plan
@@ -78,6 +82,11 @@
     {
         return {{0xc6120001U + number}, 443};
     }
+    /// How the routers spread flows.
+    [[nodiscard]] std::string_view spreading() const
+    {
+        return seed % 2 == 0 ? "mod" : "steady";
+    }
     /// The settings file of a daemon.
     [[nodiscard]] std::string settings(std::uint32_t number) const;
 };
@@ -89,4 +98,11 @@
 
 std::string service_name(std::uint32_t number);
 
+/// Daemons or targets at most: each has an address in a network of 254.
+inline constexpr std::uint32_t most_of_a_kind = 254;
+
+/// Fails with `invalid_input` if the plan has no daemon, target or flow, or
+/// more than fit into its networks.
+outcome<done> check(const soak_plan& plan);
+
 } // namespace catkinkeel::soak
--- a/soak/promises.hpp
+++ b/soak/promises.hpp
@@ -34,8 +34,6 @@
     std::uint64_t finished = 0;
     /// Flows that ended with their target's process.
     std::uint64_t lost_with_target = 0;
-    /// Opening attempts in calm times, each of which must succeed.
-    std::uint64_t calm_attempts = 0;
     std::uint64_t packets_checked = 0;
 
     friend auto operator<=>(const promise_counts&,
--- a/soak/router.cpp
+++ b/soak/router.cpp
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <array>
 #include <functional>
+#include <memory>
+#include <string>
 #include <utility>
 
 namespace catkinkeel::soak
@@ -40,6 +42,11 @@
 constexpr std::array spreadings{spreading{"mod", by_remainder},
                                 spreading{"steady", by_highest_weight}};
 
+const spreading& spreading_of(const soak_plan& plan)
+{
+    return *std::ranges::find(spreadings, plan.spreading(), &spreading::name);
+}
+
 /// One readiness probe.
 class probe_session : public std::enable_shared_from_this<probe_session>
 {
@@ -107,7 +114,7 @@
 router::router(asio::io_context& context, const soak_plan& plan)
     : context_(context),
       plan_(plan),
-      spread_(spreadings.at(plan.seed % spreadings.size())),
+      spread_(spreading_of(plan)),
       timer_(context),
       probed_(plan.daemons)
 {
--- a/soak/router.hpp
+++ b/soak/router.hpp
@@ -12,7 +12,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <string>
+#include <string_view>
 #include <vector>
 
 #include "soak/plan.hpp"
@@ -23,7 +23,7 @@
 /// How packets are spread over the daemons in rotation.
 struct spreading
 {
-    const char* name;
+    std::string_view name;
     std::uint32_t (*choose)(std::uint64_t hash,
                             const std::vector<std::uint32_t>& rotation);
 };
--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -107,8 +107,16 @@
 {
     for (std::uint32_t i = 0; i < plan.daemons; ++i)
     {
-        std::ofstream(directory + "/vm" + std::to_string(i) + ".yaml")
-            << plan.settings(i);
+        const std::string file =
+            directory + "/vm" + std::to_string(i) + ".yaml";
+        std::ofstream out(file);
+        out << plan.settings(i);
+        out.close();
+        if (!out)
+        {
+            std::cerr << file << ": cannot be written\n";
+            return cannot_start;
+        }
     }
     return success;
 }
@@ -149,6 +157,14 @@
                 .length = std::chrono::seconds(seconds.getValue()),
                 .rate = rate.getValue(),
                 .network = static_cast<std::uint8_t>(network.getValue())};
+            if (const auto valid = check(plan);
+                !valid || network.getValue() > 255)
+            {
+                std::cerr << (valid ? "network: 1 to 255"
+                                    : valid.error().message)
+                          << '\n';
+                return static_cast<int>(wrong_usage);
+            }
             return directory.isSet() ? prepare(plan, directory.getValue())
                                      : run(plan);
         });
--- a/soak/soak_test.cpp
+++ b/soak/soak_test.cpp
@@ -59,6 +59,15 @@
     CHECK(seen.size() == fault_count);
 }
 
+TEST_CASE("a plan that does not fit into its networks is refused")
+{
+    CHECK(check(soak_plan{}));
+    CHECK_FALSE(check(soak_plan{.daemons = 0}));
+    CHECK_FALSE(check(soak_plan{.targets = 255}));
+    CHECK_FALSE(check(soak_plan{.rate = 0}));
+    CHECK_FALSE(check(soak_plan{.network = 0}));
+}
+
 TEST_CASE("a segment is read as it was written")
 {
     const segment packet{.from = caller,
