--- a/catkinkeel/flow/balancer.hpp
+++ b/catkinkeel/flow/balancer.hpp
@@ -325,6 +325,8 @@
     [[nodiscard]] service_id
     service_to_open(const reference& ref, bucket_id bucket, instant now) const;
     void note_split(instant now);
+    /// Whether a packet without a record may be of a flow that another holder
+    /// opened, at a service that the base table does not name.
     [[nodiscard]] bool opened_elsewhere(const base_tables& base,
                                         const base_key& key) const;
 
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Installs what is missing, builds, runs every test and a short soak, and checks
 # the models.
+# Usage: tools/test.sh [build directory]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
