Join the soak's twins and drop what it computed or passed in vain

Found when reading the change again: the address conversion stood five times in soak/, base64 in the soak and in a platform test, the count of passing references twice; the checker took callers and targets that it did not use, and its calm test had a condition that was never true. The time at which a target's entry lapses was written as a difference of two constants, and one comment was wrong. The formatter sorted headers of soak/ and standins/ behind those of the standard library.

--- a/catkinkeel/daemon/test_site.hpp
+++ b/catkinkeel/daemon/test_site.hpp
@@ -7,6 +7,7 @@
 #include "catkinkeel/daemon/daemon.hpp"
 #include "catkinkeel/operators/documents.hpp"
 #include "catkinkeel/packet/udp_socket.hpp"
+#include "standins/platform_standin.hpp"
 
 #include <catch2/catch.hpp>
 #include <civetweb.h>
@@ -24,8 +25,6 @@
 #include <utility>
 #include <vector>
 
-#include "standins/platform_standin.hpp"
-
 namespace catkinkeel::daemon_tests
 {
 
--- a/catkinkeel/publication/configuration_client_test.cpp
+++ b/catkinkeel/publication/configuration_client_test.cpp
@@ -2,13 +2,12 @@
 
 #include "catkinkeel/contract/set_store.hpp"
 #include "catkinkeel/publication/configuration_client.hpp"
+#include "standins/platform_standin.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <thread>
 
-#include "standins/platform_standin.hpp"
-
 using namespace catkinkeel;
 
 namespace
--- a/soak/backends.cpp
+++ b/soak/backends.cpp
@@ -1,6 +1,7 @@
 #include "soak/backends.hpp"
 
 #include "catkinkeel/clock/clock.hpp"
+#include "soak/asio_endpoint.hpp"
 
 #include <boost/endian/conversion.hpp>
 
@@ -30,11 +31,6 @@
     return "servers/i-" + text;
 }
 
-udp::endpoint to_asio(const endpoint& address)
-{
-    return {asio::ip::address_v4(address.address.value), address.port};
-}
-
 } // namespace
 
 backend::backend(asio::io_context& context, const soak_plan& plan,
@@ -45,7 +41,7 @@
       store_(store),
       checker_(checker),
       open_(open),
-      socket_(context, to_asio(plan.target(number))),
+      socket_(context, to_asio<udp>(plan.target(number))),
       service_((number / 2) % service_count)
 {
     receive();
@@ -153,7 +149,8 @@
     answer.token = to.token;
     const segment_bytes bytes = encode(answer);
     boost::system::error_code ignored;
-    socket_.send_to(asio::buffer(bytes), to_asio(plan_.callers()), 0, ignored);
+    socket_.send_to(asio::buffer(bytes), to_asio<udp>(plan_.callers()), 0,
+                    ignored);
 }
 
 } // namespace catkinkeel::soak
--- a/soak/backends.hpp
+++ b/soak/backends.hpp
@@ -3,6 +3,11 @@
 // Stand-ins for backend servers: each holds flows at one address, answers their
 // callers directly and reports what it sees to the promise checker.
 
+#include "soak/plan.hpp"
+#include "soak/promises.hpp"
+#include "soak/segment.hpp"
+#include "soak/store_site.hpp"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
@@ -11,11 +16,6 @@
 #include <map>
 #include <set>
 
-#include "soak/plan.hpp"
-#include "soak/promises.hpp"
-#include "soak/segment.hpp"
-#include "soak/store_site.hpp"
-
 namespace catkinkeel::soak
 {
 
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -1,6 +1,7 @@
 #include "soak/callers.hpp"
 
 #include "catkinkeel/clock/clock.hpp"
+#include "soak/asio_endpoint.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -32,11 +33,6 @@
 constexpr duration longest_life = 25s;
 constexpr std::uint16_t first_port = 10000;
 
-udp::endpoint to_asio(const endpoint& address)
-{
-    return {asio::ip::address_v4(address.address.value), address.port};
-}
-
 duration part_of(random_source& random, duration whole)
 {
     return duration(static_cast<duration::rep>(
@@ -85,7 +81,7 @@
         waiting_ = false;
         if (closing_)
         {
-            site_.checker_.finished(caller_);
+            site_.checker_.finished();
             end();
             return;
         }
@@ -99,7 +95,7 @@
     {
         if (!target_)
         {
-            site_.checker_.refused(caller_);
+            site_.checker_.refused();
         }
         else if (!packet.from_an_end)
         {
@@ -125,7 +121,7 @@
         target_ = target_process{number, packet.sequence};
         token_ = packet.token;
         site_.open_[caller_] = *target_;
-        site_.checker_.opened(caller_, *target_);
+        site_.checker_.opened();
         send_after({});
     }
 
@@ -150,8 +146,8 @@
                 }
                 if (last)
                 {
-                    self->site_.checker_.not_opened(self->caller_, self->began_,
-                                                    steady_now());
+                    self->site_.checker_.not_opened(self->caller_,
+                                                    self->began_);
                     self->end();
                     return;
                 }
@@ -245,7 +241,7 @@
       checker_(checker),
       lives_(std::move(lives)),
       random_(plan.seed + 1),
-      socket_(context, to_asio(plan.callers())),
+      socket_(context, to_asio<udp>(plan.callers())),
       timer_(context),
       next_port_(first_port)
 {
@@ -295,8 +291,8 @@
     }
     const segment_bytes bytes = encode(packet);
     error_code ignored;
-    socket_.send_to(asio::buffer(bytes), to_asio(plan_.packets(*daemon)), 0,
-                    ignored);
+    socket_.send_to(asio::buffer(bytes), to_asio<udp>(plan_.packets(*daemon)),
+                    0, ignored);
     return lives_(*daemon) && routers_.in_rotation(*daemon);
 }
 
--- a/soak/callers.hpp
+++ b/soak/callers.hpp
@@ -4,6 +4,11 @@
 // opening packet, one packet at a time, repeated until it is answered.
 
 #include "catkinkeel/base/random.hpp"
+#include "soak/backends.hpp"
+#include "soak/plan.hpp"
+#include "soak/promises.hpp"
+#include "soak/router.hpp"
+#include "soak/segment.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -17,12 +22,6 @@
 #include <utility>
 #include <vector>
 
-#include "soak/backends.hpp"
-#include "soak/plan.hpp"
-#include "soak/promises.hpp"
-#include "soak/router.hpp"
-#include "soak/segment.hpp"
-
 namespace catkinkeel::soak
 {
 
--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -1,5 +1,7 @@
 #include "soak/fault_proxy.hpp"
 
+#include "soak/asio_endpoint.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -10,20 +12,10 @@
 namespace catkinkeel::soak
 {
 
-namespace
-{
-
 namespace asio = boost::asio;
 using asio::ip::tcp;
 using boost::system::error_code;
 
-tcp::endpoint to_asio(const endpoint& address)
-{
-    return {asio::ip::address_v4(address.address.value), address.port};
-}
-
-} // namespace
-
 /// One proxied connection. Its two ways are pumped apart from each other.
 class proxy_session : public std::enable_shared_from_this<proxy_session>
 {
@@ -149,7 +141,7 @@
 
 fault_proxy::fault_proxy(asio::io_context& context, const endpoint& listen,
                          const endpoint& server)
-    : acceptor_(context, to_asio(listen)), server_(to_asio(server))
+    : acceptor_(context, to_asio<tcp>(listen)), server_(to_asio<tcp>(server))
 {
     accept();
 }
--- a/soak/plan.hpp
+++ b/soak/plan.hpp
@@ -95,6 +95,8 @@
 /// References 0 and 1 are always published, the others come and go.
 inline constexpr std::uint32_t reference_count = 4;
 inline constexpr std::uint32_t lasting_references = 2;
+inline constexpr std::uint32_t passing_references =
+    reference_count - lasting_references;
 
 std::string service_name(std::uint32_t number);
 
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -143,28 +143,27 @@
     }
 }
 
-void promise_checker::opened(const endpoint& /*caller*/, target_process /*at*/)
+void promise_checker::opened()
 {
     ++counts_.opened;
 }
 
-void promise_checker::refused(const endpoint& /*caller*/)
+void promise_checker::refused()
 {
     ++counts_.refused;
 }
 
-void promise_checker::not_opened(const endpoint& caller, instant began,
-                                 instant now)
+void promise_checker::not_opened(const endpoint& caller, instant began)
 {
     ++counts_.not_opened;
-    if (calm(began, now))
+    if (calm(began))
     {
         violated("flow " + to_string(caller) +
                  " did not open, although nothing was disturbed");
     }
 }
 
-void promise_checker::finished(const endpoint& /*caller*/)
+void promise_checker::finished()
 {
     ++counts_.finished;
 }
--- a/soak/promises.hpp
+++ b/soak/promises.hpp
@@ -3,6 +3,8 @@
 // Checks the promises of the daemons from what callers and backend servers see.
 // No socket and no clock: the parts of the soak report what happened.
 
+#include "soak/plan.hpp"
+
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -11,8 +13,6 @@
 #include <string>
 #include <vector>
 
-#include "soak/plan.hpp"
-
 namespace catkinkeel::soak
 {
 
@@ -71,12 +71,12 @@
 
     // What callers see.
 
-    void opened(const endpoint& caller, target_process at);
-    void refused(const endpoint& caller);
+    void opened();
+    void refused();
     /// No answer to any copy of the opening packet. `began` is the time of the
     /// first copy.
-    void not_opened(const endpoint& caller, instant began, instant now);
-    void finished(const endpoint& caller);
+    void not_opened(const endpoint& caller, instant began);
+    void finished();
     /// A daemon reset an open flow.
     void reset(const endpoint& caller, target_process at);
     /// Packets that live daemons got were not answered; `attempts` of them.
@@ -88,9 +88,10 @@
     /// `asked` tells whether the soak had told it to end.
     void exited(std::uint32_t daemon, int status, bool asked, bool in_time);
 
-    [[nodiscard]] bool calm(instant since, instant now) const
+    /// Whether nothing has disturbed flows since then.
+    [[nodiscard]] bool calm(instant since) const
     {
-        return !troubled_until_ || since >= *troubled_until_ || now < since;
+        return !troubled_until_ || since >= *troubled_until_;
     }
     [[nodiscard]] const promise_counts& counts() const
     {
--- a/soak/router.cpp
+++ b/soak/router.cpp
@@ -1,6 +1,7 @@
 #include "soak/router.hpp"
 
 #include "catkinkeel/base/hash.hpp"
+#include "soak/asio_endpoint.hpp"
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -67,10 +68,9 @@
                     self->finish(false);
                 }
             });
-        socket_.async_connect(
-            {asio::ip::address_v4(where.address.value), where.port},
-            [self = shared_from_this()](error_code error)
-            { error ? self->finish(false) : self->ask(); });
+        socket_.async_connect(to_asio<tcp>(where),
+                              [self = shared_from_this()](error_code error)
+                              { error ? self->finish(false) : self->ask(); });
     }
 
 private:
--- a/soak/router.hpp
+++ b/soak/router.hpp
@@ -4,6 +4,7 @@
 // in rotation while its readiness answers 200.
 
 #include "catkinkeel/base/random.hpp"
+#include "soak/plan.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -15,8 +16,6 @@
 #include <string_view>
 #include <vector>
 
-#include "soak/plan.hpp"
-
 namespace catkinkeel::soak
 {
 
--- a/soak/schedule.hpp
+++ b/soak/schedule.hpp
@@ -2,13 +2,13 @@
 
 // The faults of a soak, drawn from its seed.
 
+#include "soak/plan.hpp"
+
 #include <compare>
 #include <cstdint>
 #include <string_view>
 #include <vector>
 
-#include "soak/plan.hpp"
-
 namespace catkinkeel::soak
 {
 
--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -5,6 +5,7 @@
 #include "apps/process.hpp"
 #include "catkinkeel/base/release.hpp"
 #include "catkinkeel/clock/clock.hpp"
+#include "soak/soak_site.hpp"
 
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/read_until.hpp>
@@ -18,8 +19,6 @@
 #include <string>
 #include <unistd.h>
 
-#include "soak/soak_site.hpp"
-
 namespace
 {
 
--- a/soak/soak_site.cpp
+++ b/soak/soak_site.cpp
@@ -17,10 +17,11 @@
 
 /// The platform starts a process again after this time.
 constexpr duration restart_delay = 500ms;
-/// After this time the address of a target may be another's.
-constexpr duration reuse_after = 2s;
-/// Entries of a target that is silent are removed after this time.
-constexpr duration entry_lapses_after = 3600ms;
+/// Entries of a target that ended without a word are removed after this time.
+constexpr duration entry_lapses_after = 3s;
+/// A target starts again after this time: its entry is gone, and its address
+/// may be another's (2 s).
+constexpr duration target_restarts_after = 5600ms;
 /// Longest life of a flow, with repetitions.
 constexpr duration last_flows = 40s;
 constexpr duration idle_check_period = 500ms;
@@ -28,7 +29,7 @@
 /// too busy to judge whether a flow opened in time.
 constexpr duration watch_period = 50ms;
 constexpr duration tolerated_lateness = 150ms;
-/// A process that got no SIGKILL in time is told so by the next exit.
+/// How much longer than its grace the soak waits for the end of a process.
 constexpr duration exit_slack = 2s;
 
 } // namespace
@@ -309,15 +310,15 @@
 
 // Targets
 
-void soak_site::end_target(backend& target, duration until_next)
+void soak_site::end_target(backend& target)
 {
     target.crash();
     const bool same_identity = ++changes_ % 3 == 0;
     if (!same_identity)
     {
-        later(entry_lapses_after - 600ms, [&target] { target.withdraw(); });
+        later(entry_lapses_after, [&target] { target.withdraw(); });
     }
-    later(until_next + entry_lapses_after,
+    later(target_restarts_after,
           [&target, same_identity] { target.start(same_identity); });
 }
 
@@ -326,9 +327,9 @@
     backend& target = target_of(what);
     if (target.running() && !target.draining())
     {
-        checker_.troubled(steady_now() + reuse_after + entry_lapses_after +
+        checker_.troubled(steady_now() + target_restarts_after +
                           recovery_bound);
-        end_target(target, reuse_after);
+        end_target(target);
     }
 }
 
@@ -341,8 +342,7 @@
     }
     target.drain();
     checker_.draining(target.process(), steady_now());
-    later(drain_bound + what.length,
-          [this, &target] { end_target(target, reuse_after); });
+    later(drain_bound + what.length, [this, &target] { end_target(target); });
 }
 
 void soak_site::withdraw_entry(const scheduled_fault& what)
@@ -425,16 +425,14 @@
 
 void soak_site::publish_reference(const scheduled_fault& what)
 {
-    constexpr std::uint32_t passing = reference_count - lasting_references;
-    references_[lasting_references + what.subject % passing] =
+    references_[lasting_references + what.subject % passing_references] =
         what.subject % service_count;
     publish();
 }
 
 void soak_site::withdraw_reference(const scheduled_fault& what)
 {
-    constexpr std::uint32_t passing = reference_count - lasting_references;
-    references_[lasting_references + what.subject % passing].reset();
+    references_[lasting_references + what.subject % passing_references].reset();
     publish();
 }
 
--- a/soak/soak_site.hpp
+++ b/soak/soak_site.hpp
@@ -3,6 +3,15 @@
 // The surroundings of the daemons in a soak, on the thread of one `io_context`:
 // store and proxies, routers, callers, backend servers, and the faults.
 
+#include "soak/backends.hpp"
+#include "soak/callers.hpp"
+#include "soak/fault_proxy.hpp"
+#include "soak/plan.hpp"
+#include "soak/promises.hpp"
+#include "soak/router.hpp"
+#include "soak/schedule.hpp"
+#include "soak/store_site.hpp"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -14,15 +23,6 @@
 #include <string_view>
 #include <vector>
 
-#include "soak/backends.hpp"
-#include "soak/callers.hpp"
-#include "soak/fault_proxy.hpp"
-#include "soak/plan.hpp"
-#include "soak/promises.hpp"
-#include "soak/router.hpp"
-#include "soak/schedule.hpp"
-#include "soak/store_site.hpp"
-
 namespace catkinkeel::soak
 {
 
@@ -85,7 +85,7 @@
     void start_daemon(std::uint32_t daemon);
     void kill(std::uint32_t daemon);
     void link_fault(std::uint32_t daemon, link_mode mode, duration length);
-    void end_target(backend& target, duration until_next);
+    void end_target(backend& target);
     void publish();
     void begin_end();
     void wait_for_callers();
--- a/soak/soak_test.cpp
+++ b/soak/soak_test.cpp
@@ -1,15 +1,14 @@
 // The soak's own checks: a check that cannot fail proves nothing.
 
 #include "catkinkeel/base/random.hpp"
+#include "soak/promises.hpp"
+#include "soak/schedule.hpp"
+#include "soak/segment.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <set>
 
-#include "soak/promises.hpp"
-#include "soak/schedule.hpp"
-#include "soak/segment.hpp"
-
 using namespace catkinkeel;
 using namespace catkinkeel::soak;
 
@@ -159,9 +158,9 @@
 {
     watched w;
     w.checker.troubled(w.now + 1s);
-    w.checker.not_opened(caller, w.now, w.now + 1400ms);
+    w.checker.not_opened(caller, w.now);
     CHECK(w.broken() == 0);
-    w.checker.not_opened(caller, w.now + 1s, w.now + 2400ms);
+    w.checker.not_opened(caller, w.now + 1s);
     CHECK(w.broken() == 1);
 }
 
--- a/soak/store_site.cpp
+++ b/soak/store_site.cpp
@@ -1,10 +1,12 @@
 #include "soak/store_site.hpp"
 
+#include "soak/asio_endpoint.hpp"
+#include "standins/base64.hpp"
+
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
-#include <sodium.h>
 
 #include <charconv>
 #include <chrono>
@@ -28,18 +30,6 @@
 constexpr std::size_t items_a_page = 500;
 constexpr std::size_t longest_request = 8192;
 
-std::string base64(const std::string& text)
-{
-    std::string encoded(
-        sodium_base64_encoded_len(text.size(), sodium_base64_VARIANT_ORIGINAL),
-        '\0');
-    sodium_bin2base64(encoded.data(), encoded.size(),
-                      reinterpret_cast<const unsigned char*>(text.data()),
-                      text.size(), sodium_base64_VARIANT_ORIGINAL);
-    encoded.pop_back();
-    return encoded;
-}
-
 std::string in_query(std::string_view path, std::string_view name)
 {
     const std::string key = std::string(name) + "=";
@@ -156,7 +146,7 @@
                std::uint64_t revision)
 {
     return {{"key", key},
-            {"value", base64(value)},
+            {"value", encode_base64(value)},
             {"revision", revision},
             {"created", revision},
             {"lease", 0}};
@@ -165,10 +155,7 @@
 } // namespace
 
 store_site::store_site(asio::io_context& context, const endpoint& address)
-    : context_(context),
-      acceptor_(context,
-                tcp::endpoint(asio::ip::address_v4(address.address.value),
-                              address.port))
+    : context_(context), acceptor_(context, to_asio<tcp>(address))
 {
     accept();
 }
--- a/standins/demo_site.cpp
+++ b/standins/demo_site.cpp
@@ -9,6 +9,9 @@
 #include "catkinkeel/clock/clock.hpp"
 #include "catkinkeel/http/http_reader.hpp"
 #include "catkinkeel/operators/documents.hpp"
+#include "standins/caller_site.hpp"
+#include "standins/site_plan.hpp"
+#include "standins/target_site.hpp"
 
 #include <algorithm>
 #include <cstdio>
@@ -17,10 +20,6 @@
 #include <string>
 #include <thread>
 
-#include "standins/caller_site.hpp"
-#include "standins/site_plan.hpp"
-#include "standins/target_site.hpp"
-
 namespace
 {
 
--- a/standins/platform_standin_main.cpp
+++ b/standins/platform_standin_main.cpp
@@ -7,6 +7,8 @@
 // The directory holds set.toml (a whole-set document) and vms.toml. Both are
 // read again every second and published when they have changed.
 
+#include "standins/platform_standin.hpp"
+
 #include <tclap/CmdLine.h>
 
 #include <csignal>
@@ -17,8 +19,6 @@
 #include <sstream>
 #include <string>
 
-#include "standins/platform_standin.hpp"
-
 using namespace catkinkeel;
 
 namespace
