--- a/catkinkeel/flow/balancer.hpp
+++ b/catkinkeel/flow/balancer.hpp
@@ -39,6 +39,9 @@
 namespace catkinkeel
 {
 
+/// Sets take effect at all VMs within this time of each other.
+inline constexpr duration set_spread = 2s;
+
 struct balancer_settings
 {
     /// Flows held at once; further ones are dropped at their first packet.
--- a/catkinkeel/flow/balancer_holdings.cpp
+++ b/catkinkeel/flow/balancer_holdings.cpp
@@ -15,9 +15,9 @@
 /// A VM that left gracefully and sent no handover for this time has stopped.
 constexpr duration leaving_holder_timeout = 10s;
 /// A VM of a data centre taken out that has not answered a claim for this long
-/// is asked no more and gets no relayed packets. Sets take effect within 2 s of
-/// each other, and a VM answers as soon as it has the set.
-constexpr duration out_of_service_holder_timeout = 2s;
+/// is asked no more and gets no relayed packets. A VM answers as soon as it has
+/// the set.
+constexpr duration out_of_service_holder_timeout = set_spread;
 
 } // namespace
 
--- a/catkinkeel/flow/balancer_sets.cpp
+++ b/catkinkeel/flow/balancer_sets.cpp
@@ -12,8 +12,6 @@
 namespace
 {
 
-/// Sets take effect within this time of each other.
-constexpr duration set_spread = 2s;
 /// Sides of a cut notice it within this time of each other.
 constexpr duration detection_spread = 3s;
 
