Keep an owner from taking over before sets have settled

Cause: an owner that has abandoned a holder of a data centre out of service takes the buckets over at once. If sets follow each other within the propagation delay, that holder may be alive with a newer set: it answers no claim for the older one and opens flows with a service that the owner does not know. The owner delivered their packets by its older base table.

Change: after such an abandonment an owner takes over only once its own set has been in effect for 5 s (two propagation delays and a claim's retry). A set that arrives meanwhile starts new claims, which the holder answers.

--- a/catkinkeel/flow/balancer_holdings.cpp
+++ b/catkinkeel/flow/balancer_holdings.cpp
@@ -19,6 +19,12 @@
 /// long is sent no further claims and no relayed packets. A VM that runs
 /// answers once it has the set to which the claim refers.
 constexpr duration out_of_service_holder_timeout = max_set_propagation_delay;
+/// While a holder may have a newer set than this VM, it answers no claim and
+/// opens flows with services that this VM does not know. A set that took effect
+/// here before the holder had it, and the next one, each take up to the
+/// propagation delay; a claim is repeated within the rest.
+constexpr duration min_set_age_after_abandonment =
+    2 * max_set_propagation_delay + 1s;
 
 } // namespace
 
@@ -295,6 +301,11 @@
     {
         return;
     }
+    if (claims_.holder_abandoned() &&
+        now - set_since_ < min_set_age_after_abandonment)
+    {
+        return;
+    }
     if (claims_.take_holder_abandoned())
     {
         move_unconfirmed_to_uncertain_lineages(now);
--- a/catkinkeel/flow/failure_test.cpp
+++ b/catkinkeel/flow/failure_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <functional>
+#include <initializer_list>
 #include <string>
 #include <vector>
 
@@ -157,6 +158,63 @@
     }
 }
 
+TEST_CASE("a holder that is out and ahead by a set misdirects no flow")
+{
+    // Guards against an owner that takes buckets over from a VM of a data
+    // centre that is out of service, because that VM answers no claim for the
+    // owner's older set: the VM still opens flows, with a service of which the
+    // owner does not know yet.
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        INFO("seed " << seed);
+        site s({.seed = seed});
+        s.run(2s);
+        const auto install = [&](std::initializer_list<std::uint32_t> vms)
+        {
+            for (const std::uint32_t vm : vms)
+            {
+                s.group.install_set({vm}, s.objects);
+            }
+        };
+        s.objects.data_centres[0].wish = data_centre_wish::out_of_service;
+        ++s.objects.version.value;
+        install({21, 22, 31, 32});
+        s.run(1s, 20);
+        // Each VM has each set, or a newer one, within the propagation delay.
+        s.objects.references[0].service = {2};
+        ++s.objects.version.value;
+        install({11, 12});
+        s.run(max_set_propagation_delay - 100ms, 20);
+        install({21, 22, 31, 32});
+        s.run(8s, 20);
+        s.callers.send_on_all_flows();
+        CHECK(s.callers.counts().misdirected == 0);
+        CHECK(s.settles());
+    }
+}
+
+TEST_CASE("sets that follow a data centre going out misdirect no flow")
+{
+    // Guards against the same fault in a schedule that a random test found:
+    // three sets follow one another before all VMs have each of them.
+    site s({.seed = 189951});
+    s.run(1s, 20);
+    const auto publish_and_run = [&](std::uint32_t service, duration time)
+    {
+        s.objects.references[0].service = {service};
+        s.publish();
+        s.run(time, 10);
+    };
+    s.objects.data_centres[0].wish = data_centre_wish::out_of_service;
+    publish_and_run(1, 400ms);
+    publish_and_run(1, 400ms);
+    publish_and_run(2, 3s);
+    publish_and_run(1, 400ms);
+    publish_and_run(1, 400ms);
+    publish_and_run(1, 400ms);
+    CHECK(s.callers.counts().misdirected == 0);
+}
+
 TEST_CASE("no packet is relayed into a data centre that is out after 3 s")
 {
     // Guards against VMs that keep relaying packets to former holders there.
--- a/catkinkeel/flow/handover.hpp
+++ b/catkinkeel/flow/handover.hpp
@@ -48,6 +48,12 @@
         return std::exchange(holder_abandoned_, false);
     }
 
+    /// Whether a pending holder was abandoned, without resetting the flag.
+    [[nodiscard]] bool holder_abandoned() const
+    {
+        return holder_abandoned_;
+    }
+
     /// Returns the pending holders to which no claim was sent in the last
     /// 500 ms, and records `now` as the time at which it is sent to them.
     std::vector<vm_id> take_claim_recipients(instant now);
