Keep odd input from ending the edge daemon or blinding it to the store

Each step of a duty now reports it (event 1015, duty_failures_total) and goes on; the catalogue asks for a full read, HTTP answers 500, main ends in order.

--- a/apps/process.cpp
+++ b/apps/process.cpp
@@ -1,5 +1,6 @@
 #include "apps/process.hpp"
 
+#include <exception>
 #include <iostream>
 
 namespace catkinkeel
@@ -38,6 +39,11 @@
     {
         return exit.getExitStatus();
     }
+    catch (const std::exception& error)
+    {
+        std::cerr << "unexpected error: " << error.what() << '\n';
+        return startup_failure;
+    }
 }
 
 } // namespace catkinkeel
--- a/catkinkeel/edge/catalog_duty.cpp
+++ b/catkinkeel/edge/catalog_duty.cpp
@@ -1,6 +1,7 @@
 #include "catkinkeel/edge/catalog_duty.hpp"
 
 #include "catkinkeel/clock/clock.hpp"
+#include "catkinkeel/edge/duty_step.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -16,16 +17,17 @@
 
 } // namespace
 
-catalog_duty::catalog_duty(steering::catalog_settings settings,
-                           std::shared_ptr<read_result_ring> results,
-                           std::shared_ptr<view_ring> views,
-                           std::shared_ptr<view_board> board,
-                           std::shared_ptr<readiness> ready,
-                           std::shared_ptr<event_channel> events,
-                           std::shared_ptr<edge_metrics> metrics)
+catalog_duty::catalog_duty(
+    steering::catalog_settings settings,
+    std::shared_ptr<read_result_ring> results,
+    std::shared_ptr<full_read_request> full_read_requested,
+    std::shared_ptr<view_ring> views, std::shared_ptr<view_board> board,
+    std::shared_ptr<readiness> ready, std::shared_ptr<event_channel> events,
+    std::shared_ptr<edge_metrics> metrics)
     : settings_(settings),
       catalog_(settings),
       results_(std::move(results)),
+      full_read_requested_(std::move(full_read_requested)),
       views_(std::move(views)),
       board_(std::move(board)),
       ready_(std::move(ready)),
@@ -48,19 +50,23 @@
         const auto expiry = catalog_.next_expiry();
         const duration wait = expiry ? *expiry - boot_now() : max_wait;
         const auto result = results_->pop_for(std::max(wait, duration::zero()));
-        if (result)
+        const bool completed =
+            run_duty_step("catalogue", *events_, *metrics_,
+                          [&] { result ? process(*result) : expire(); });
+        if (!completed)
         {
-            process(*result);
-        }
-        else
-        {
-            const auto changes = catalog_.expire(boot_now());
-            report(changes);
-            publish();
+            // A part of the update may be missing from the catalogue.
+            *full_read_requested_ = true;
         }
     }
 }
 
+void catalog_duty::expire()
+{
+    report(catalog_.expire(boot_now()));
+    publish();
+}
+
 void catalog_duty::process(const read_result& result)
 {
     if (!result.update)
@@ -151,4 +157,11 @@
                     {field("key", change.key), field("reason", change.reason)});
 }
 
+void catalog_duty::log(const steering::rejections_omitted& change)
+{
+    events_->report(event_number::rejections_omitted,
+                    {field("entries", change.entries),
+                     field("revision", catalog_.revision())});
+}
+
 } // namespace catkinkeel::edge
--- a/catkinkeel/edge/catalog_duty.hpp
+++ b/catkinkeel/edge/catalog_duty.hpp
@@ -29,6 +29,7 @@
 public:
     catalog_duty(steering::catalog_settings settings,
                  std::shared_ptr<read_result_ring> results,
+                 std::shared_ptr<full_read_request> full_read_requested,
                  std::shared_ptr<view_ring> views,
                  std::shared_ptr<view_board> board,
                  std::shared_ptr<readiness> ready,
@@ -41,6 +42,7 @@
 private:
     void run();
     void process(const read_result& result);
+    void expire();
     void publish();
     void report(const std::vector<steering::catalog_event>& changes);
 
@@ -50,10 +52,12 @@
     void log(const steering::withdrawals_delayed& change);
     void log(const steering::data_centre_service_changed& change);
     void log(const steering::entry_rejected& change);
+    void log(const steering::rejections_omitted& change);
 
     steering::catalog_settings settings_;
     steering::catalog catalog_;
     std::shared_ptr<read_result_ring> results_;
+    std::shared_ptr<full_read_request> full_read_requested_;
     std::shared_ptr<view_ring> views_;
     std::shared_ptr<view_board> board_;
     std::shared_ptr<readiness> ready_;
--- a/catkinkeel/edge/edge_daemon.cpp
+++ b/catkinkeel/edge/edge_daemon.cpp
@@ -66,20 +66,22 @@
     // duties start.
     const auto peer_updates =
         std::make_shared<peer_update_ring>(peer_ring_size);
+    const auto full_read_requested = std::make_shared<full_read_request>(false);
     const auto confirmations =
         std::make_shared<confirmation_ring>(peer_ring_size);
     daemon->reading_ = std::make_unique<reading_duty>(
         settings.reading, std::move(source),
         std::make_unique<snapshot_reader>(settings.snapshot_sources,
                                           settings.snapshot_timeout),
-        daemon->read_results_, peer_updates, confirmations,
+        daemon->read_results_, full_read_requested, peer_updates, confirmations,
         notice_socket.value(), events, daemon->metrics_);
     daemon->peers_ = std::make_unique<peers_duty>(
-        settings, notice_socket.value(), confirmations, peer_updates,
+        settings, notice_socket.value(), confirmations, peer_updates, events,
         daemon->metrics_);
     daemon->catalog_ = std::make_unique<catalog_duty>(
-        settings.catalog, daemon->read_results_, daemon->views_,
-        daemon->view_board_, daemon->ready_, events, daemon->metrics_);
+        settings.catalog, daemon->read_results_, full_read_requested,
+        daemon->views_, daemon->view_board_, daemon->ready_, events,
+        daemon->metrics_);
     daemon->packets_ = std::make_unique<packet_duty>(
         settings, std::move(socket).value(), std::move(codec), daemon->views_,
         events, daemon->metrics_);
--- a/catkinkeel/edge/edge_metrics.cpp
+++ b/catkinkeel/edge/edge_metrics.cpp
@@ -115,6 +115,9 @@
       notices_rejected(
           counter(*registry_, "notices_rejected_total",
                   "Datagrams from peers that are not a valid notice")),
+      duty_failures(counter(*registry_, "duty_failures_total",
+                            "Steps of a duty that ended with an unexpected "
+                            "exception")),
       peers(gauge(*registry_, "peers", "Peers in the peer table")),
       ready(gauge(*registry_, "ready", "1 if the daemon is ready for packets")),
       configuration_version(gauge(*registry_, "terms_version",
--- a/catkinkeel/edge/edge_metrics.hpp
+++ b/catkinkeel/edge/edge_metrics.hpp
@@ -59,6 +59,8 @@
     prometheus::Counter& notices_sent;
     prometheus::Counter& notices_received;
     prometheus::Counter& notices_rejected;
+    /// Steps of a duty that ended with an unexpected exception.
+    prometheus::Counter& duty_failures;
     prometheus::Gauge& peers;
     prometheus::Gauge& ready;
     prometheus::Gauge& configuration_version;
--- a/catkinkeel/edge/event_channel.cpp
+++ b/catkinkeel/edge/event_channel.cpp
@@ -2,6 +2,8 @@
 
 #include "catkinkeel/clock/clock.hpp"
 
+#include <exception>
+
 namespace catkinkeel::edge
 {
 
@@ -35,18 +37,27 @@
     std::uint64_t reported_drops = 0;
     while (const auto events = channel_->ring().pop())
     {
-        for (const event_record& each : *events)
+        try
+        {
+            for (const event_record& each : *events)
+            {
+                log_->report(each, steady_now());
+            }
+            report_dropped(reported_drops);
+            flush_();
+        }
+        catch (const std::exception&)
         {
-            log_->report(each, steady_now());
+            // The log is this thread's only output, so the rest of the batch
+            // is counted as dropped and reported with a later one.
+            ++failed_batches_;
         }
-        report_dropped(reported_drops);
-        flush_();
     }
 }
 
 void log_duty::report_dropped(std::uint64_t& reported_drops)
 {
-    const std::uint64_t refused = channel_->ring().refused();
+    const std::uint64_t refused = channel_->ring().refused() + failed_batches_;
     if (refused == reported_drops)
     {
         return;
@@ -54,7 +65,7 @@
     log_->report({event_number::records_dropped,
                   wall_now(),
                   {field("count", refused - reported_drops),
-                   field("reason", "the log ring was full")}},
+                   field("reason", "the log could not take them in time")}},
                  steady_now());
     reported_drops = refused;
 }
--- a/catkinkeel/edge/event_channel.hpp
+++ b/catkinkeel/edge/event_channel.hpp
@@ -62,6 +62,8 @@
     std::shared_ptr<event_channel> channel_;
     std::shared_ptr<event_log> log_;
     std::function<void()> flush_;
+    /// Batches of which some events could not be written.
+    std::uint64_t failed_batches_ = 0;
     std::thread thread_;
 };
 
--- a/catkinkeel/edge/http_server.cpp
+++ b/catkinkeel/edge/http_server.cpp
@@ -8,13 +8,14 @@
 #include <civetweb.h>
 
 #include <array>
+#include <exception>
 #include <utility>
 
 namespace catkinkeel::edge
 {
 
 http_server::http_server(std::shared_ptr<const readiness> ready,
-                         std::shared_ptr<const edge_metrics> metrics,
+                         std::shared_ptr<edge_metrics> metrics,
                          std::shared_ptr<const view_board> views)
     : ready_(std::move(ready)),
       metrics_(std::move(metrics)),
@@ -22,10 +23,27 @@
 {
 }
 
+template <http_server::response (http_server::*respond)() const>
+int http_server::serve(mg_connection* connection, void* server)
+{
+    // CivetWeb is a C library, through which no exception may pass.
+    try
+    {
+        const response result = (static_cast<http_server*>(server)->*respond)();
+        return send_response(connection, result.status, result.media_type,
+                             result.body);
+    }
+    catch (const std::exception&)
+    {
+        static_cast<http_server*>(server)->metrics_->duty_failures.Increment();
+        return send_response(connection, 500, "text/plain", "internal error\n");
+    }
+}
+
 outcome<std::shared_ptr<http_server>>
 http_server::open(const http_settings& settings,
                   std::shared_ptr<const readiness> ready,
-                  std::shared_ptr<const edge_metrics> metrics,
+                  std::shared_ptr<edge_metrics> metrics,
                   std::shared_ptr<const view_board> views)
 {
     std::shared_ptr<http_server> server(new http_server(
@@ -50,12 +68,15 @@
     {
         return failure{failure_kind::unavailable, "cannot listen on " + ports};
     }
-    mg_set_request_handler(server->context_, settings.readiness_path.c_str(),
-                           &http_server::serve_readiness, server.get());
+    mg_set_request_handler(
+        server->context_, settings.readiness_path.c_str(),
+        &http_server::serve<&http_server::readiness_response>, server.get());
     mg_set_request_handler(server->context_, "/metrics",
-                           &http_server::serve_metrics, server.get());
+                           &http_server::serve<&http_server::metrics_response>,
+                           server.get());
     mg_set_request_handler(server->context_, snapshot_path,
-                           &http_server::serve_snapshot, server.get());
+                           &http_server::serve<&http_server::snapshot_response>,
+                           server.get());
     return server;
 }
 
@@ -67,30 +88,26 @@
     }
 }
 
-int http_server::serve_readiness(mg_connection* connection, void* server)
+http_server::response http_server::readiness_response() const
 {
-    const readiness& ready = *static_cast<http_server*>(server)->ready_;
-    return send_response(connection, ready.is_ready() ? 200 : 503, "text/plain",
-                         std::string(ready.reason()) + "\n");
+    return {ready_->is_ready() ? 200 : 503, "text/plain",
+            std::string(ready_->reason()) + "\n"};
 }
 
-int http_server::serve_metrics(mg_connection* connection, void* server)
+http_server::response http_server::metrics_response() const
 {
-    return send_response(connection, 200, "text/plain; version=0.0.4",
-                         static_cast<http_server*>(server)->metrics_->text());
+    return {200, "text/plain; version=0.0.4", metrics_->text()};
 }
 
-int http_server::serve_snapshot(mg_connection* connection, void* server)
+http_server::response http_server::snapshot_response() const
 {
-    const auto view = static_cast<http_server*>(server)->views_->get();
+    const auto view = views_->get();
     if (view->parts().version == set_version{})
     {
-        return send_response(connection, 503, "text/plain",
-                             "no configuration is available\n");
+        return {503, "text/plain", "no configuration is available\n"};
     }
-    return send_response(
-        connection, 200, "application/json",
-        to_json(steering::to_metadata_update(*view, boot_now())));
+    return {200, "application/json",
+            to_json(steering::to_metadata_update(*view, boot_now()))};
 }
 
 } // namespace catkinkeel::edge
--- a/catkinkeel/edge/http_server.hpp
+++ b/catkinkeel/edge/http_server.hpp
@@ -39,7 +39,7 @@
     /// Fails with `unavailable` if listening on an address fails.
     static outcome<std::shared_ptr<http_server>>
     open(const http_settings& settings, std::shared_ptr<const readiness> ready,
-         std::shared_ptr<const edge_metrics> metrics,
+         std::shared_ptr<edge_metrics> metrics,
          std::shared_ptr<const view_board> views);
 
     ~http_server();
@@ -48,15 +48,26 @@
 
 private:
     http_server(std::shared_ptr<const readiness> ready,
-                std::shared_ptr<const edge_metrics> metrics,
+                std::shared_ptr<edge_metrics> metrics,
                 std::shared_ptr<const view_board> views);
 
-    static int serve_readiness(mg_connection* connection, void* server);
-    static int serve_metrics(mg_connection* connection, void* server);
-    static int serve_snapshot(mg_connection* connection, void* server);
+    struct response
+    {
+        int status = 200;
+        std::string media_type;
+        std::string body;
+    };
+
+    /// Sends what `respond` returns; 500 if it throws.
+    template <response (http_server::*respond)() const>
+    static int serve(mg_connection* connection, void* server);
+
+    [[nodiscard]] response readiness_response() const;
+    [[nodiscard]] response metrics_response() const;
+    [[nodiscard]] response snapshot_response() const;
 
     std::shared_ptr<const readiness> ready_;
-    std::shared_ptr<const edge_metrics> metrics_;
+    std::shared_ptr<edge_metrics> metrics_;
     std::shared_ptr<const view_board> views_;
     mg_context* context_ = nullptr;
 };
--- a/catkinkeel/edge/metadata_source.hpp
+++ b/catkinkeel/edge/metadata_source.hpp
@@ -25,6 +25,9 @@
 struct source_failure
 {
     std::string reason;
+    /// The store answered with something that cannot be decoded, or with more
+    /// than the limit. The same read would most likely fail again.
+    bool unusable_answer = false;
 
     friend auto operator<=>(const source_failure&,
                             const source_failure&) = default;
--- a/catkinkeel/edge/packet_duty.cpp
+++ b/catkinkeel/edge/packet_duty.cpp
@@ -1,6 +1,7 @@
 #include "catkinkeel/edge/packet_duty.hpp"
 
 #include "catkinkeel/clock/clock.hpp"
+#include "catkinkeel/edge/duty_step.hpp"
 
 #include <string>
 
@@ -101,6 +102,7 @@
     : socket_(std::move(socket)),
       codec_(std::move(codec)),
       views_(std::move(views)),
+      events_(events),
       metrics_(metrics),
       steerer_(settings.steering,
                std::make_shared<steering::least_cost_policy>(settings.weights),
@@ -138,7 +140,8 @@
         now_ = boot_now();
         if (status == receive_status::received)
         {
-            handle(batch);
+            run_duty_step("packets", *events_, *metrics_,
+                          [&] { handle(batch); });
             // A batch that is not full emptied the socket, so a missing answer
             // means that the target is unresponsive, not that this thread is
             // late.
@@ -168,7 +171,8 @@
             now_ = boot_now();
             if (status == receive_status::received)
             {
-                handle(batch);
+                run_duty_step("packets", *events_, *metrics_,
+                              [&] { handle(batch); });
             }
         }
         flow_log_.flush_if_due(now_);
--- a/catkinkeel/edge/packet_duty.hpp
+++ b/catkinkeel/edge/packet_duty.hpp
@@ -98,6 +98,7 @@
     std::shared_ptr<udp_socket> socket_;
     std::shared_ptr<const packet_codec> codec_;
     std::shared_ptr<view_ring> views_;
+    std::shared_ptr<event_channel> events_;
     std::shared_ptr<edge_metrics> metrics_;
     steering::steerer steerer_;
     flow_log flow_log_;
--- a/catkinkeel/edge/peers_duty.cpp
+++ b/catkinkeel/edge/peers_duty.cpp
@@ -1,6 +1,7 @@
 #include "catkinkeel/edge/peers_duty.hpp"
 
 #include "catkinkeel/clock/clock.hpp"
+#include "catkinkeel/edge/duty_step.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -30,11 +31,13 @@
                        std::shared_ptr<udp_socket> socket,
                        std::shared_ptr<confirmation_ring> own_confirmations,
                        std::shared_ptr<peer_update_ring> updates,
+                       std::shared_ptr<event_channel> events,
                        std::shared_ptr<edge_metrics> metrics)
     : settings_(settings.peers),
       socket_(std::move(socket)),
       own_confirmations_(std::move(own_confirmations)),
       updates_(std::move(updates)),
+      events_(std::move(events)),
       metrics_(std::move(metrics)),
       random_(wall_nanoseconds()),
       table_({settings.peers.notice_endpoint, settings.data_centre},
@@ -70,7 +73,8 @@
         {
             for (const received_datagram& datagram : batch.datagrams())
             {
-                handle(datagram);
+                run_duty_step("peers", *events_, *metrics_,
+                              [&] { handle(datagram); });
             }
         }
         send_own_confirmations();
--- a/catkinkeel/edge/peers_duty.hpp
+++ b/catkinkeel/edge/peers_duty.hpp
@@ -6,6 +6,7 @@
 #include "catkinkeel/base/random.hpp"
 #include "catkinkeel/edge/edge_metrics.hpp"
 #include "catkinkeel/edge/edge_settings.hpp"
+#include "catkinkeel/edge/event_channel.hpp"
 #include "catkinkeel/edge/freshness.hpp"
 #include "catkinkeel/edge/peer_notice.hpp"
 #include "catkinkeel/edge/peer_table.hpp"
@@ -47,6 +48,7 @@
                std::shared_ptr<udp_socket> socket,
                std::shared_ptr<confirmation_ring> own_confirmations,
                std::shared_ptr<peer_update_ring> updates,
+               std::shared_ptr<event_channel> events,
                std::shared_ptr<edge_metrics> metrics);
     ~peers_duty();
     peers_duty(const peers_duty&) = delete;
@@ -67,6 +69,7 @@
     std::shared_ptr<udp_socket> socket_;
     std::shared_ptr<confirmation_ring> own_confirmations_;
     std::shared_ptr<peer_update_ring> updates_;
+    std::shared_ptr<event_channel> events_;
     std::shared_ptr<edge_metrics> metrics_;
     random_source random_;
     peer_table table_;
--- a/catkinkeel/edge/reading_duty.cpp
+++ b/catkinkeel/edge/reading_duty.cpp
@@ -1,6 +1,7 @@
 #include "catkinkeel/edge/reading_duty.hpp"
 
 #include "catkinkeel/clock/clock.hpp"
+#include "catkinkeel/edge/duty_step.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -23,11 +24,7 @@
     std::set<std::string> withdrawn;
     for (const steering::metadata_change& change : later.changes)
     {
-        if (const auto* withdrawal =
-                std::get_if<steering::target_withdrawn>(&change))
-        {
-            withdrawn.insert(withdrawal->name);
-        }
+        withdrawn.insert(steering::unannounced_target(change));
     }
     std::erase_if(earlier.changes,
                   [&](const steering::metadata_change& change)
@@ -43,19 +40,21 @@
     return earlier;
 }
 
-reading_duty::reading_duty(reading_settings settings,
-                           std::shared_ptr<metadata_source> source,
-                           std::unique_ptr<snapshot_reader> snapshots,
-                           std::shared_ptr<read_result_ring> results,
-                           std::shared_ptr<peer_update_ring> peer_updates,
-                           std::shared_ptr<confirmation_ring> confirmations,
-                           std::shared_ptr<udp_socket> peer_socket,
-                           std::shared_ptr<event_channel> events,
-                           std::shared_ptr<edge_metrics> metrics)
+reading_duty::reading_duty(
+    reading_settings settings, std::shared_ptr<metadata_source> source,
+    std::unique_ptr<snapshot_reader> snapshots,
+    std::shared_ptr<read_result_ring> results,
+    std::shared_ptr<full_read_request> full_read_requested,
+    std::shared_ptr<peer_update_ring> peer_updates,
+    std::shared_ptr<confirmation_ring> confirmations,
+    std::shared_ptr<udp_socket> peer_socket,
+    std::shared_ptr<event_channel> events,
+    std::shared_ptr<edge_metrics> metrics)
     : settings_(settings),
       source_(std::move(source)),
       snapshots_(std::move(snapshots)),
       results_(std::move(results)),
+      full_read_requested_(std::move(full_read_requested)),
       peer_updates_(std::move(peer_updates)),
       confirmations_(std::move(confirmations)),
       peer_socket_(std::move(peer_socket)),
@@ -82,19 +81,14 @@
 {
     for (;;)
     {
-        const instant started = steady_now();
-        process_peer_updates();
-        metadata_result result = read_once();
-        std::visit([&](auto& each) { process(std::move(each)); }, result);
-        instant next = started + settings_.min_read_period;
-        if (failures_ > 0)
-        {
-            read_snapshot();
-            next = steady_now() + retry_delay(settings_, failures_);
-        }
-        else if (full_read_needed_)
+        instant next;
+        const bool completed = run_duty_step(
+            "reading", *events_, *metrics_, [&] { next = read_and_process(); });
+        if (!completed)
         {
-            next = started;
+            // The changes of the failed read may be lost.
+            full_read_needed_ = true;
+            next = steady_now() + settings_.max_retry_delay;
         }
         if (!sleep_until(next))
         {
@@ -103,6 +97,24 @@
     }
 }
 
+instant reading_duty::read_and_process()
+{
+    const instant started = steady_now();
+    process_peer_updates();
+    if (full_read_requested_->exchange(false))
+    {
+        full_read_needed_ = true;
+    }
+    metadata_result result = read_once();
+    std::visit([&](auto& each) { process(std::move(each)); }, result);
+    if (failures_ > 0)
+    {
+        read_snapshot();
+        return steady_now() + retry_delay(settings_, failures_);
+    }
+    return full_read_needed_ ? started : started + settings_.min_read_period;
+}
+
 void reading_duty::process_peer_updates()
 {
     while (const auto received = peer_updates_->try_pop())
@@ -171,7 +183,8 @@
     {
         return merge(std::move(*update), *later);
     }
-    if (std::holds_alternative<source_failure>(change_result))
+    const auto* failed = std::get_if<source_failure>(&change_result);
+    if (failed != nullptr && !failed->unusable_answer)
     {
         return full;
     }
@@ -277,6 +290,9 @@
                          field("reason", failed.reason)});
     }
     ++failures_;
+    // The changes after `revision_` may never become readable, for example if
+    // they are too large for one answer. The full state is read in pages.
+    full_read_needed_ = full_read_needed_ || failed.unusable_answer;
     results_->push({});
 }
 
--- a/catkinkeel/edge/reading_duty.hpp
+++ b/catkinkeel/edge/reading_duty.hpp
@@ -11,6 +11,7 @@
 #include "catkinkeel/edge/snapshot_reader.hpp"
 #include "catkinkeel/ring/bounded_ring.hpp"
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <memory>
@@ -34,6 +35,10 @@
 
 using read_result_ring = bounded_ring<read_result>;
 
+/// By which the catalogue thread makes the reading thread read everything
+/// again. Safe to use from any thread.
+using full_read_request = std::atomic<bool>;
+
 /// Returns one update with the changes of `earlier` followed by those of
 /// `later`. Of several changes of one target only the last one takes effect, so
 /// announcements of targets that `later` withdraws are dropped.
@@ -56,6 +61,7 @@
                  std::shared_ptr<metadata_source> source,
                  std::unique_ptr<snapshot_reader> snapshots,
                  std::shared_ptr<read_result_ring> results,
+                 std::shared_ptr<full_read_request> full_read_requested,
                  std::shared_ptr<peer_update_ring> peer_updates,
                  std::shared_ptr<confirmation_ring> confirmations,
                  std::shared_ptr<udp_socket> peer_socket,
@@ -67,6 +73,8 @@
 
 private:
     void run();
+    /// Performs one read and returns the time of the next one.
+    instant read_and_process();
     metadata_result read_once();
     /// Reads the full state from any replica, then the later changes with a
     /// consistent read.
@@ -99,6 +107,7 @@
     std::shared_ptr<metadata_source> source_;
     std::unique_ptr<snapshot_reader> snapshots_;
     std::shared_ptr<read_result_ring> results_;
+    std::shared_ptr<full_read_request> full_read_requested_;
     std::shared_ptr<peer_update_ring> peer_updates_;
     std::shared_ptr<confirmation_ring> confirmations_;
     std::shared_ptr<udp_socket> peer_socket_;
--- a/catkinkeel/edge/snapshot_json.cpp
+++ b/catkinkeel/edge/snapshot_json.cpp
@@ -1,7 +1,10 @@
 #include "catkinkeel/edge/snapshot_json.hpp"
 
+#include "catkinkeel/base/json_nesting.hpp"
+
 #include <chrono>
 #include <exception>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace catkinkeel::edge
@@ -15,6 +18,9 @@
 
 constexpr int format_version = 1;
 
+/// The format nests 4 levels.
+constexpr std::size_t max_nesting_depth = 8;
+
 json to_json(const target_announcement& target)
 {
     const auto warm_up = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -66,10 +72,24 @@
     return parsed.value();
 }
 
+/// Reads an integer from `min` to the maximum of `Integer`, which `get` alone
+/// would truncate.
+template <class Integer>
+Integer parse_integer(const json& value, std::uint64_t min = 0)
+{
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() < min ||
+        value.get<std::uint64_t>() >
+            static_cast<std::uint64_t>(std::numeric_limits<Integer>::max()))
+    {
+        throw std::invalid_argument("number out of range");
+    }
+    return value.get<Integer>();
+}
+
 target_announcement parse_target(const json& object)
 {
     return {.name = object.at("name").get<std::string>(),
-            .identity = object.at("identity").get<std::uint64_t>(),
+            .identity = parse_integer<std::uint64_t>(object.at("identity"), 1),
             .service = object.at("service").get<std::string>(),
             .address = parse_address(object),
             .data_centre = object.at("data_centre").get<std::string>(),
@@ -77,15 +97,15 @@
                          ? announced_state::draining
                          : announced_state::ready,
             .remaining_warm_up = std::chrono::milliseconds(
-                object.at("warm_up_ms").get<std::uint32_t>()),
-            .slots = object.at("slots").get<std::uint32_t>(),
-            .started_ms = object.at("started_ms").get<std::int64_t>()};
+                parse_integer<std::uint32_t>(object.at("warm_up_ms"))),
+            .slots = parse_integer<std::uint32_t>(object.at("slots"), 1),
+            .started_ms = parse_integer<std::int64_t>(object.at("started_ms"))};
 }
 
 published_configuration parse_configuration(const json& object)
 {
     published_configuration configuration{
-        .version = {object.at("version").get<std::uint64_t>()}};
+        .version = {parse_integer<std::uint64_t>(object.at("version"))}};
     for (const json& row : object.at("references"))
     {
         reference_configuration reference{.name =
@@ -93,8 +113,9 @@
                                           .address = parse_address(row)};
         for (const json& service : row.at("services"))
         {
-            reference.services.push_back({service.at(0).get<std::string>(),
-                                          service.at(1).get<std::uint32_t>()});
+            reference.services.push_back(
+                {service.at(0).get<std::string>(),
+                 parse_integer<std::uint32_t>(service.at(1))});
         }
         configuration.references.push_back(std::move(reference));
     }
@@ -113,9 +134,9 @@
     {
         throw std::invalid_argument("unsupported snapshot format version");
     }
-    metadata_update update{.complete = true,
-                           .revision =
-                               document.at("revision").get<std::uint64_t>()};
+    metadata_update update{
+        .complete = true,
+        .revision = parse_integer<std::uint64_t>(document.at("revision"))};
     update.changes.emplace_back(
         configuration_published{parse_configuration(document.at("terms"))});
     for (const json& name : document.at("closed"))
@@ -167,6 +188,10 @@
     // The JSON library reports missing members and wrong types by exceptions.
     try
     {
+        if (!has_limited_nesting(text, max_nesting_depth))
+        {
+            throw std::invalid_argument("nested too deeply");
+        }
         return parse_update(json::parse(text));
     }
     catch (const std::exception& parse_error)
--- a/catkinkeel/edge/snapshot_test.cpp
+++ b/catkinkeel/edge/snapshot_test.cpp
@@ -15,6 +15,40 @@
 using namespace catkinkeel::edge;
 using namespace catkinkeel::edge::testing;
 
+TEST_CASE("a snapshot with odd values is refused as a whole")
+{
+    // Guards against a peer that hands on an entry that the store's decoder
+    // would have rejected, and against numbers that are truncated.
+    const std::string valid = to_json(::make_site_update({{0x7f000001}, 9}));
+    REQUIRE(parse_snapshot(valid));
+    const auto replaced = [&](const std::string& name, const std::string& value)
+    {
+        std::string text = valid;
+        const auto begin = text.find("\"" + name + "\":") + name.size() + 3;
+        return text.replace(begin, text.find_first_of(",}", begin) - begin,
+                            value);
+    };
+    for (const char* name : {"slots", "identity", "warm_up_ms", "started_ms",
+                             "revision", "version"})
+    {
+        for (const char* value : {"-1", "1.5", "1e400", "18446744073709551616",
+                                  "null", "\"1\"", "[[[[[[[[[1]]]]]]]]]"})
+        {
+            const std::string text = replaced(name, value);
+            CAPTURE(text);
+            CHECK_FALSE(parse_snapshot(text));
+        }
+    }
+    for (const char* value : {"0", "4294967298"})
+    {
+        CHECK_FALSE(parse_snapshot(replaced("slots", value)));
+    }
+    CHECK_FALSE(parse_snapshot(replaced("identity", "0")));
+    CHECK_FALSE(parse_snapshot(replaced("address", "\"10.0.0.1:0\"")));
+    CHECK_FALSE(parse_snapshot(std::string(1'000'000, '[')));
+    CHECK_FALSE(parse_snapshot(""));
+}
+
 TEST_CASE("a daemon that starts without the store uses a peer's snapshot")
 {
     // Guards against a daemon that restarts during an outage of the store and
--- a/catkinkeel/edge/test_daemon.hpp
+++ b/catkinkeel/edge/test_daemon.hpp
@@ -20,6 +20,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -105,7 +106,7 @@
 };
 
 /// Codec of test packets: one byte, 'o' for an opening packet or 'd' for any
-/// other, and the token.
+/// other, and the token. A packet that begins with 'x' makes it throw.
 class test_codec : public packet_codec
 {
 public:
@@ -116,6 +117,10 @@
         {
             return std::nullopt;
         }
+        if (packet.bytes[0] == std::byte{'x'})
+        {
+            throw std::runtime_error("unexpected packet");
+        }
         steering::flow_packet facts{.key = {{{1}, 1}, {{2}, 443}}};
         facts.opens = packet.bytes[0] == std::byte{'o'};
         std::memcpy(&facts.token.value, packet.bytes.data() + 1, 4);
@@ -149,6 +154,7 @@
             .revision = 10,
             .changes = {steering::configuration_published{configuration},
                         steering::target_announced{{.name = "t",
+                                                    .identity = 1,
                                                     .service = "orderdesk",
                                                     .address = target,
                                                     .data_centre = "a"}}}};
--- a/catkinkeel/event/catalogue.cpp
+++ b/catkinkeel/event/catalogue.cpp
@@ -81,6 +81,10 @@
         "{count} log records were dropped because {reason}",
         "Lines about single flows are missing around this time; counters are "
         "complete."},
+    event_definition{number::duty_failed, "duty_failed", error, change::none,
+                     once_per_minute,
+                     "the {duty} duty goes on after an error: {reason}",
+                     "Report it to the developers with the lines before it."},
 
     event_definition{
         number::settings_refused, "settings_refused", error, change::none, 0,
@@ -153,6 +157,12 @@
                      "no snapshot was received from another daemon: {reason}",
                      "None if the other daemons were also down or starting; "
                      "the request is repeated."},
+    event_definition{
+        number::rejections_omitted, "rejections_omitted", warning, change::none,
+        0,
+        "{entries} more entries of the metadata store at revision {revision} "
+        "are not used",
+        "Find who wrote the entries that entry_rejected names."},
 
     event_definition{number::member_joined, "member_joined", info,
                      change::member, 0,
--- a/catkinkeel/event/catalogue.hpp
+++ b/catkinkeel/event/catalogue.hpp
@@ -34,6 +34,7 @@
     departure_started = 1012,
     readiness_changed = 1013,
     records_dropped = 1014,
+    duty_failed = 1015,
 
     settings_refused = 2001,
     set_in_effect = 2002,
@@ -50,6 +51,7 @@
     metadata_history_lost = 2013,
     snapshot_taken = 2014,
     snapshot_failed = 2015,
+    rejections_omitted = 2016,
 
     member_joined = 3001,
     member_suspect = 3002,
--- a/catkinkeel/steering/catalog.cpp
+++ b/catkinkeel/steering/catalog.cpp
@@ -21,13 +21,6 @@
 /// than half of those announced, is attributed to the store.
 constexpr std::size_t min_mass_withdrawal_targets = 3;
 
-/// Name of the target that `change` withdraws; empty for other changes.
-std::string withdrawn_target_name(const metadata_change& change)
-{
-    const auto* withdrawn = std::get_if<target_withdrawn>(&change);
-    return withdrawn == nullptr ? std::string() : withdrawn->name;
-}
-
 } // namespace
 
 void catalog::note_store_unreachable(instant now)
@@ -50,6 +43,8 @@
     }
     store_unreachable_ = false;
     missing_count_ = 0;
+    reported_rejections_ = 0;
+    omitted_rejections_ = 0;
     revision_ = update.revision;
     confirmed_at_ = now;
     for (const metadata_change& change : update.changes)
@@ -65,6 +60,10 @@
     {
         out.emplace_back(withdrawals_delayed{missing_count_});
     }
+    if (omitted_rejections_ > 0)
+    {
+        out.emplace_back(rejections_omitted{omitted_rejections_});
+    }
     for (catalog_event& item : expire(now))
     {
         out.push_back(std::move(item));
@@ -84,7 +83,7 @@
     }
     for (const metadata_change& change : update.changes)
     {
-        missing.insert(withdrawn_target_name(change));
+        missing.insert(unannounced_target(change));
         if (const auto* announced = std::get_if<target_announced>(&change))
         {
             missing.erase(announced->target.name);
@@ -122,6 +121,13 @@
 {
     const target_announcement& next = change.target;
     const auto found = targets_.find(next.name);
+    if (!data_centre_ids_.contains(next.data_centre) &&
+        data_centre_ids_.size() >= max_known_data_centres)
+    {
+        report_rejection({next.name, "too many data centres", next.name}, out);
+        end_announcement(next.name, now, out);
+        return;
+    }
     const bool is_new_or_restarted =
         found == targets_.end() ||
         found->second.announced.started_ms != next.started_ms ||
@@ -129,6 +135,7 @@
          next.heartbeat < found->second.announced.heartbeat);
     if (!is_new_or_restarted)
     {
+        rejections_.erase(next.name);
         target_record& target = found->second;
         const target_standing before = standing_of(target);
         intern(service_ids_, next.service);
@@ -141,9 +148,10 @@
     }
     if (found == targets_.end() && targets_.size() >= max_known_targets)
     {
-        out.emplace_back(entry_rejected{next.name, "too many targets"});
+        report_rejection({next.name, "too many targets", next.name}, out);
         return;
     }
+    rejections_.erase(next.name);
     intern(service_ids_, next.service);
     intern(data_centre_ids_, next.data_centre);
     target_record& target = targets_[next.name];
@@ -159,7 +167,14 @@
 void catalog::apply_change(const target_withdrawn& change, instant now,
                            events& out)
 {
-    const auto found = targets_.find(change.name);
+    rejections_.erase(change.name);
+    end_announcement(change.name, now, out);
+}
+
+void catalog::end_announcement(const std::string& name, instant now,
+                               events& out)
+{
+    const auto found = targets_.find(name);
     if (found != targets_.end())
     {
         mark_missing(found->second, now, out);
@@ -170,6 +185,8 @@
                            events& out)
 {
     const published_configuration& next = change.configuration;
+    std::erase_if(rejections_,
+                  [](const auto& item) { return item.second.target.empty(); });
     if (configuration_ && next.version <= configuration_->version)
     {
         if (next.version < configuration_->version)
@@ -217,10 +234,37 @@
     }
 }
 
-void catalog::apply_change(const entry_rejected& change, instant /*now*/,
+void catalog::apply_change(const entry_rejected& change, instant now,
                            events& out)
 {
-    out.emplace_back(change);
+    report_rejection(change, out);
+    end_announcement(change.target, now, out);
+}
+
+void catalog::report_rejection(const entry_rejected& rejection, events& out)
+{
+    const std::string& name =
+        rejection.target.empty() ? rejection.key : rejection.target;
+    const auto found = rejections_.find(name);
+    if (found != rejections_.end() && found->second == rejection)
+    {
+        return;
+    }
+    const bool remembered = found != rejections_.end() ||
+                            rejections_.size() < max_remembered_rejections;
+    if (remembered)
+    {
+        rejections_.insert_or_assign(name, rejection);
+    }
+    if (remembered && reported_rejections_ < max_reported_rejections)
+    {
+        ++reported_rejections_;
+        out.emplace_back(rejection);
+    }
+    else
+    {
+        ++omitted_rejections_;
+    }
 }
 
 void catalog::process_unlisted(const metadata_update& update, instant now,
--- a/catkinkeel/steering/catalog.hpp
+++ b/catkinkeel/steering/catalog.hpp
@@ -46,6 +46,17 @@
 /// size is 24,000 targets.
 inline constexpr std::size_t max_known_targets = 65'536;
 
+/// Maximum number of data centres; `data_centre_id` has 16 bits. The targets of
+/// further ones are rejected.
+inline constexpr std::size_t max_known_data_centres = 4096;
+
+/// A rejected entry is reported once, and again if the reason changes. Beyond
+/// this number of entries, rejections are only counted.
+inline constexpr std::size_t max_remembered_rejections = 1024;
+
+/// Maximum number of rejections that one update reports; the rest is counted.
+inline constexpr std::size_t max_reported_rejections = 16;
+
 /// A new version of the configuration is in effect.
 struct configuration_in_effect
 {
@@ -87,10 +98,20 @@
                             const withdrawals_delayed&) = default;
 };
 
+/// Rejected entries of one update that were not reported one by one.
+struct rejections_omitted
+{
+    std::size_t entries = 0;
+
+    friend auto operator<=>(const rejections_omitted&,
+                            const rejections_omitted&) = default;
+};
+
 using catalog_event =
     std::variant<configuration_in_effect, stale_configuration_ignored,
                  target_standing_changed, withdrawals_delayed,
-                 data_centre_service_changed, entry_rejected>;
+                 data_centre_service_changed, entry_rejected,
+                 rejections_omitted>;
 
 /// Tracks targets and configuration. Not thread-safe.
 class catalog
@@ -171,6 +192,8 @@
                       events& out);
     void apply_change(const entry_rejected& change, instant now, events& out);
 
+    void end_announcement(const std::string& name, instant now, events& out);
+    void report_rejection(const entry_rejected& rejection, events& out);
     void process_unlisted(const metadata_update& update, instant now,
                           events& out);
     /// Whether so many announcements are missing with this update that a
@@ -208,6 +231,11 @@
     /// `missing` instead of `withdrawn`.
     std::optional<instant> withdrawal_grace_until_;
     std::size_t missing_count_ = 0;
+    /// Entries that are rejected now, by target name or else by key.
+    std::map<std::string, entry_rejected> rejections_;
+    /// Rejections of the current update that were reported and that were not.
+    std::size_t reported_rejections_ = 0;
+    std::size_t omitted_rejections_ = 0;
 };
 
 } // namespace catkinkeel::steering
--- a/catkinkeel/steering/catalog_test.cpp
+++ b/catkinkeel/steering/catalog_test.cpp
@@ -72,6 +72,120 @@
     CHECK_FALSE(under_test.has_configuration());
 }
 
+namespace
+{
+
+metadata_change reject(const std::string& target,
+                       const std::string& reason = "the value is not base64")
+{
+    return entry_rejected{"servers/" + target, reason, target};
+}
+
+std::size_t rejection_count(const std::vector<catalog_event>& events)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        events, [](const catalog_event& each)
+        { return std::holds_alternative<entry_rejected>(each); }));
+}
+
+} // namespace
+
+TEST_CASE("a target whose entry cannot be used any more gets no new flows")
+{
+    // Guards against another writer's entry under the key of a target: the
+    // daemon would go on with an entry that the store no longer holds.
+    catalog under_test = make_catalog(4);
+    under_test.apply(update(11, {reject("t1")}), at(1s));
+    CHECK(standing(under_test, "t1") == target_standing::withdrawn);
+    CHECK(open_count(under_test) == 3);
+    under_test.apply(update(12, {announce("t1", 11)}), at(2s));
+    CHECK(standing(under_test, "t1") == target_standing::open);
+    under_test.apply(update(13, {reject("t1")}, true), at(3s));
+    CHECK(standing(under_test, "t1") != target_standing::draining);
+}
+
+TEST_CASE("odd entries of most targets at once are attributed to the store")
+{
+    // Guards against a service without targets because another writer damaged
+    // all entries at once; live targets write theirs again within seconds.
+    catalog under_test = make_catalog(4);
+    under_test.apply(update(11, {reject("t0"), reject("t1"), reject("t2")}),
+                     at(1s));
+    CHECK(open_count(under_test) == 4);
+    under_test.expire(at(4s));
+    CHECK(open_count(under_test) == 1);
+}
+
+TEST_CASE("an odd entry is reported once and again if it changes")
+{
+    // Guards against a log line for each odd entry with each full read.
+    catalog under_test = make_catalog(4);
+    CHECK(rejection_count(
+              under_test.apply(update(11, {reject("odd")}), at(1s))) == 1);
+    CHECK(rejection_count(
+              under_test.apply(update(12, {reject("odd")}), at(2s))) == 0);
+    CHECK(rejection_count(under_test.apply(
+              update(13, {reject("odd", "no address")}), at(3s))) == 1);
+    under_test.apply(update(14, {target_withdrawn{"odd"}}), at(4s));
+    CHECK(rejection_count(under_test.apply(
+              update(15, {reject("odd", "no address")}), at(5s))) == 1);
+    under_test.apply(update(16, {announce("odd", 99)}), at(6s));
+    CHECK(rejection_count(under_test.apply(
+              update(17, {reject("odd", "no address")}), at(7s))) == 1);
+    const metadata_change configuration =
+        entry_rejected{"op/config", "the value is not a JSON object"};
+    CHECK(rejection_count(
+              under_test.apply(update(18, {configuration}), at(8s))) == 1);
+    under_test.apply(update(19, {configuration_published{sample_configuration(
+                                    9, {{443, "orderdesk"}})}}),
+                     at(9s));
+    CHECK(rejection_count(
+              under_test.apply(update(20, {configuration}), at(10s))) == 1);
+    CHECK(under_test.make_view().parts().version == set_version{9});
+}
+
+TEST_CASE("ten thousand odd entries cause few events and hide no target")
+{
+    // Guards against log volume and memory that grow with the entries of
+    // another writer.
+    catalog under_test = make_catalog(4);
+    std::vector<metadata_change> odd;
+    for (int i = 0; i < 10'000; ++i)
+    {
+        odd.push_back(reject("odd" + std::to_string(i)));
+    }
+    for (std::uint64_t revision = 11; revision < 14; ++revision)
+    {
+        const auto events = under_test.apply(update(revision, odd), at(1s));
+        CHECK(rejection_count(events) <= max_reported_rejections);
+        const auto omitted = std::ranges::find_if(
+            events, [](const catalog_event& each)
+            { return std::holds_alternative<rejections_omitted>(each); });
+        REQUIRE(omitted != events.end());
+        CHECK(std::get<rejections_omitted>(*omitted).entries >=
+              10'000 - max_remembered_rejections);
+    }
+    CHECK(open_count(under_test) == 4);
+}
+
+TEST_CASE("targets of too many data centres are rejected")
+{
+    // Guards against identifiers of data centres that wrap around and make one
+    // data centre stand for another.
+    catalog under_test = make_catalog(1);
+    std::vector<metadata_change> odd;
+    for (std::uint32_t i = 0; i < max_known_data_centres + 10; ++i)
+    {
+        odd.emplace_back(target_announced{
+            sample_target("odd" + std::to_string(i), "orderdesk",
+                          "zone" + std::to_string(i), i)});
+    }
+    under_test.apply(update(11, odd), at(1s));
+    const steering_view view = under_test.make_view();
+    CHECK(view.parts().data_centres.size() == max_known_data_centres);
+    CHECK(standing(under_test, "t0") == target_standing::open);
+}
+
 TEST_CASE("an older version of the configuration is ignored")
 {
     catalog under_test = make_catalog(1);
--- a/catkinkeel/steering/objects.hpp
+++ b/catkinkeel/steering/objects.hpp
@@ -139,6 +139,9 @@
 {
     std::string key;
     std::string reason;
+    /// Name of the target that the entry would announce; empty for entries of
+    /// other kinds. The target is not announced any more.
+    std::string target;
 
     friend auto operator<=>(const entry_rejected&,
                             const entry_rejected&) = default;
@@ -148,6 +151,19 @@
     std::variant<target_announced, target_withdrawn, configuration_published,
                  data_centre_service_changed, entry_rejected>;
 
+/// Name of the target whose announcement `change` ends, because it was
+/// withdrawn or because its entry cannot be used; empty for other changes.
+[[nodiscard]] inline std::string
+unannounced_target(const metadata_change& change)
+{
+    if (const auto* withdrawn = std::get_if<target_withdrawn>(&change))
+    {
+        return withdrawn->name;
+    }
+    const auto* rejected = std::get_if<entry_rejected>(&change);
+    return rejected == nullptr ? std::string() : rejected->target;
+}
+
 /// One response of the metadata store.
 struct metadata_update
 {
