Count requests at work as the load of a target, not open flows

Cause: the decisions took one flow for one request.

Change: a caller's new data begins a request, its acknowledgement of answer bytes ends it (request_progress). A target's load is its requests at work; an idle flow weighs a tenth. A request on a flow that another daemon opened, or that was forgotten, counts too. exchange_seconds is the time of a request.

--- a/catkinkeel/edge/edge_metrics.cpp
+++ b/catkinkeel/edge/edge_metrics.cpp
@@ -133,7 +133,8 @@
                     "Time from an opening packet to its follow-up")),
       exchange_seconds(
           histogram(*registry_, "exchange_seconds",
-                    "Time from the end of the handshake to the caller's FIN")),
+                    "Time from the last data of a request to the first "
+                    "acknowledgement of its answer")),
       store_read_seconds(histogram(*registry_, "store_read_seconds",
                                    "Time of a read of the metadata store")),
       batch_seconds(
--- a/catkinkeel/edge/edge_metrics.hpp
+++ b/catkinkeel/edge/edge_metrics.hpp
@@ -71,7 +71,8 @@
     /// Seconds from an opening packet to the caller's packet that follows the
     /// answer.
     prometheus::Histogram& handshake_seconds;
-    /// Seconds from the end of the handshake to the caller's FIN.
+    /// Seconds from the last data of a request to the first acknowledgement of
+    /// its answer.
     prometheus::Histogram& exchange_seconds;
     /// Seconds of a read of the store, including its wait for a change.
     prometheus::Histogram& store_read_seconds;
--- a/catkinkeel/steering/flow_tracker.hpp
+++ b/catkinkeel/steering/flow_tracker.hpp
@@ -8,6 +8,7 @@
 #include "catkinkeel/base/hash.hpp"
 #include "catkinkeel/base/identifier.hpp"
 #include "catkinkeel/base/time.hpp"
+#include "catkinkeel/steering/request_progress.hpp"
 
 #include <compare>
 #include <cstddef>
@@ -29,19 +30,31 @@
     established
 };
 
+/// How a flow loads its target.
+enum class flow_activity : std::uint8_t
+{
+    /// Not counted: its opening packet got no answer, or it has ended.
+    none,
+    /// Open, without a request at work.
+    idle,
+    /// A request, or the opening packet, waits for its answer.
+    at_work
+};
+
 /// State of one flow.
 struct tracked_flow
 {
     target_id target;
     flow_stage stage = flow_stage::opening;
-    /// Whether the flow is included in the load of `target`.
-    bool counts_as_load = false;
+    /// How the flow is included in the load of `target`.
+    flow_activity activity = flow_activity::none;
     /// Targets that were sent an opening packet of the flow before `target`.
     std::vector<target_id> tried_targets;
     instant opened_at;
     /// When the last opening packet was sent.
     instant last_opening_sent;
-    instant established_at;
+    /// Meaningful once established.
+    request_progress request;
 
     friend auto operator<=>(const tracked_flow&, const tracked_flow&) = default;
 };
@@ -51,8 +64,8 @@
     /// Maximum number of tracked flows; others are steered by their token
     /// alone. 61 million flows over 2,300 daemons are 26,500 per daemon.
     std::size_t max_flows = 65'536;
-    /// Maximum time for which a flow counts as load. Exceeds the longest
-    /// request deadline in use, 10 s.
+    /// Time after which a flow is forgotten until its next request. Exceeds the
+    /// longest request deadline in use, 10 s.
     duration max_flow_age = 12s;
 
     friend auto operator<=>(const tracker_settings&,
--- a/catkinkeel/steering/selection.cpp
+++ b/catkinkeel/steering/selection.cpp
@@ -20,6 +20,11 @@
     return static_cast<double>(option.in_flight) / option.slots;
 }
 
+double idle_load_of(const candidate& option)
+{
+    return static_cast<double>(option.idle_flows) / option.slots;
+}
+
 double distance_of(const candidate& option)
 {
     return option.nearby ? 0 : 1;
@@ -48,6 +53,7 @@
 
 constexpr std::array cost_term_table{
     cost_term{"load", &selection_weights::load, &load_of},
+    cost_term{"idle_flow", &selection_weights::idle_flow, &idle_load_of},
     cost_term{"distance", &selection_weights::distance, &distance_of},
     cost_term{"coldness", &selection_weights::coldness, &coldness_of},
     cost_term{"slowness", &selection_weights::slowness, &slowness_of},
--- a/catkinkeel/steering/selection.hpp
+++ b/catkinkeel/steering/selection.hpp
@@ -24,7 +24,9 @@
     std::uint32_t index = 0;
     target_trust trust = target_trust::trusted;
     std::uint32_t slots = 1;
+    /// Flows with a request at work, and other open flows.
     std::uint32_t in_flight = 0;
+    std::uint32_t idle_flows = 0;
     /// Whether it is in the daemon's own data centre.
     bool nearby = false;
     bool cold = false;
@@ -41,6 +43,10 @@
 struct selection_weights
 {
     double load = 1;
+    /// Load of an idle flow relative to one at work. Callers that keep flows
+    /// open send requests of 30 to 50 ms about every half second, so an idle
+    /// flow will be at work for a tenth of its time.
+    double idle_flow = 0.1;
     /// A target in another data centre costs a few ms and billed traffic, as
     /// much as a nearby target with half of its slots in use.
     double distance = 0.5;
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -237,6 +237,7 @@
                                .trust = trust,
                                .slots = std::max(target.slots, 1U),
                                .in_flight = load.in_flight,
+                               .idle_flows = load.idle_flows,
                                .nearby = own_data_centre_ == target.data_centre,
                                .cold = cold,
                                .cold_limited = cold && limit > 0});
@@ -256,7 +257,7 @@
     tracked_flow* flow = flows_.find(packet.key);
     if (flow != nullptr)
     {
-        stop_counting(*flow);
+        set_activity(*flow, flow_activity::none);
         flow->tried_targets.push_back(flow->target);
         flow->target = target.id;
         flow->last_opening_sent = now;
@@ -269,7 +270,7 @@
     }
     if (flow != nullptr)
     {
-        start_counting(*flow);
+        set_activity(*flow, flow_activity::at_work);
         observer_.opening_sent(target, now);
         unsent_openings_.push_back({packet.key, target.id, now});
     }
@@ -285,46 +286,87 @@
         return {.decision = discard{discard_reason::unknown_token}};
     }
     steering_result result{.decision = to_target(*target)};
-    if (tracked_flow* flow = flows_.find(packet.key))
-    {
-        record_established(*flow, *target, now, result);
-        if (packet.finishes || packet.aborts)
-        {
-            record_flow_end(*flow, packet, now, result);
-        }
-    }
+    record_packet(packet, *target, now, result);
     return result;
 }
 
-void steerer::record_established(tracked_flow& flow, const view_target& target,
-                                 instant now, steering_result& result)
+void steerer::record_packet(const flow_packet& packet,
+                            const view_target& target, instant now,
+                            steering_result& result)
 {
-    if (flow.stage == flow_stage::established)
+    const bool ends = packet.finishes || packet.aborts;
+    tracked_flow* flow = flows_.find(packet.key);
+    if (flow == nullptr && packet.segment.data_bytes > 0 && !ends)
     {
+        // Another daemon opened the flow, or it was idle for long.
+        flow = flows_.add(packet.key,
+                          {.target = target.id,
+                           .stage = flow_stage::established,
+                           .opened_at = now,
+                           .request = begin_flow(packet.segment, now)});
+        if (flow != nullptr)
+        {
+            set_activity(*flow, flow_activity::at_work);
+        }
         return;
     }
+    if (flow == nullptr)
+    {
+        return;
+    }
+    if (flow->stage == flow_stage::opening)
+    {
+        record_established(*flow, packet, target, now, result);
+    }
+    else
+    {
+        const request_step step = advance(flow->request, packet.segment, now);
+        if (step.answered_after)
+        {
+            record_answer(*flow, *step.answered_after, result);
+        }
+        flow->request = step.next;
+    }
+    if (ends)
+    {
+        record_flow_end(*flow, packet, now, result);
+        return;
+    }
+    set_activity(*flow, flow->request.in_progress ? flow_activity::at_work
+                                                  : flow_activity::idle);
+}
+
+void steerer::record_established(tracked_flow& flow, const flow_packet& packet,
+                                 const view_target& target, instant now,
+                                 steering_result& result)
+{
     if (flow.target != target.id)
     {
         // The target of an earlier opening packet answered after all.
-        stop_counting(flow);
+        set_activity(flow, flow_activity::none);
         flow.target = target.id;
     }
-    start_counting(flow);
     flow.stage = flow_stage::established;
-    flow.established_at = now;
+    flow.request = begin_flow(packet.segment, now);
     result.handshake_duration = now - flow.last_opening_sent;
     observer_.answered(target, now);
 }
 
+void steerer::record_answer(const tracked_flow& flow, duration elapsed,
+                            steering_result& result)
+{
+    result.exchange_duration = elapsed;
+    observer_.exchange_finished(flow.target, elapsed);
+}
+
 void steerer::record_flow_end(tracked_flow& flow, const flow_packet& packet,
                               instant now, steering_result& result)
 {
-    if (flow.stage == flow_stage::established && packet.finishes)
+    if (flow.request.in_progress && packet.finishes)
     {
-        result.exchange_duration = now - flow.established_at;
-        observer_.exchange_finished(flow.target, *result.exchange_duration);
+        record_answer(flow, now - flow.request.sent_at, result);
     }
-    stop_counting(flow);
+    set_activity(flow, flow_activity::none);
     flows_.erase(packet.key);
 }
 
@@ -356,7 +398,7 @@
         }
         // The flow wasn't established, so it is assumed to cause no load at the
         // target.
-        stop_counting(*flow);
+        set_activity(*flow, flow_activity::none);
         const view_target* target = view_->find_target(opening.target);
         if (target != nullptr && observer_.answer_timed_out(
                                      *target, opening.sent_at, processed_until))
@@ -367,27 +409,15 @@
     }
     for (tracked_flow& expired : flows_.take_expired(processed_until))
     {
-        stop_counting(expired);
+        set_activity(expired, flow_activity::none);
     }
     return timed_out;
 }
 
-void steerer::start_counting(tracked_flow& flow)
-{
-    if (!flow.counts_as_load)
-    {
-        observer_.flow_started(flow.target);
-        flow.counts_as_load = true;
-    }
-}
-
-void steerer::stop_counting(tracked_flow& flow)
+void steerer::set_activity(tracked_flow& flow, flow_activity activity)
 {
-    if (flow.counts_as_load)
-    {
-        observer_.flow_ended(flow.target);
-        flow.counts_as_load = false;
-    }
+    observer_.activity_changed(flow.target, flow.activity, activity);
+    flow.activity = activity;
 }
 
 } // namespace catkinkeel::steering
--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -49,6 +49,8 @@
     /// The caller aborts the flow.
     bool aborts = false;
     flow_token token;
+    /// Not meaningful if `opens`.
+    flow_segment segment;
 
     friend auto operator<=>(const flow_packet&, const flow_packet&) = default;
 };
@@ -125,7 +127,7 @@
 {
     std::uint32_t candidates = 0;
     std::uint32_t avoided = 0;
-    /// Load of the chosen target.
+    /// Requests at work at the chosen target, of this daemon's flows.
     std::uint32_t in_flight = 0;
     target_trust trust = target_trust::trusted;
 
@@ -142,8 +144,8 @@
     /// Time from the last opening packet to this packet, if it is the first
     /// after the target's answer.
     std::optional<duration> handshake_duration;
-    /// Time from the end of the handshake to this packet, if it finishes the
-    /// flow.
+    /// Time from the last data of a request to this packet, if it is the first
+    /// to acknowledge a part of the answer.
     std::optional<duration> exchange_duration;
 
     friend auto operator<=>(const steering_result&,
@@ -230,10 +232,16 @@
     steering_result steer_by_token(const flow_packet& packet,
                                    const view_reference& reference,
                                    instant now);
-    void record_established(tracked_flow& flow, const view_target& target,
-                            instant now, steering_result& result);
+    /// Updates the record of an open flow by a packet to `target`.
+    void record_packet(const flow_packet& packet, const view_target& target,
+                       instant now, steering_result& result);
+    void record_established(tracked_flow& flow, const flow_packet& packet,
+                            const view_target& target, instant now,
+                            steering_result& result);
     void record_flow_end(tracked_flow& flow, const flow_packet& packet,
                          instant now, steering_result& result);
+    void record_answer(const tracked_flow& flow, duration elapsed,
+                       steering_result& result);
     void record_opening(const flow_packet& packet, const view_target& target,
                         instant now);
     [[nodiscard]] service_id
@@ -245,8 +253,7 @@
     candidates_for(service_id service, const tracked_flow* tracked,
                    instant now);
     [[nodiscard]] bool is_view_fresh(instant now) const;
-    void start_counting(tracked_flow& flow);
-    void stop_counting(tracked_flow& flow);
+    void set_activity(tracked_flow& flow, flow_activity activity);
 
     steerer_settings settings_;
     std::shared_ptr<const selection_policy> policy_;
--- a/catkinkeel/steering/steerer_test.cpp
+++ b/catkinkeel/steering/steerer_test.cpp
@@ -271,6 +271,97 @@
     CHECK(fixture.steering().tracked_flows() == 0);
 }
 
+TEST_CASE("a flow of many requests counts as load while one is at work")
+{
+    // Guards against idle flows that keep new ones away from a target, and
+    // against requests after the first that are not counted.
+    steering_fixture fixture(1);
+    const forward opened = fixture.open(1, at(1s));
+    const auto load = [&]
+    {
+        return fixture.steering().observer().load_of(opened.target);
+    };
+    const auto send = [&](flow_segment segment, instant now)
+    {
+        flow_packet packet = steering_fixture::data(1, opened.token);
+        packet.segment = segment;
+        return fixture.send(packet, now);
+    };
+    send({1, 50, 200}, at(1015ms));
+    CHECK(load().in_flight == 1);
+    CHECK(load().idle_flows == 0);
+    CHECK(send({201, 2050, 0}, at(1055ms)).exchange_duration == 40ms);
+    CHECK(load().in_flight == 0);
+    CHECK(load().idle_flows == 1);
+    send({201, 2050, 200}, at(2s));
+    CHECK(load().in_flight == 1);
+    CHECK(load().idle_flows == 0);
+    CHECK(send({401, 4050, 0}, at(2030ms)).exchange_duration == 30ms);
+    // The tracker forgets the flow; its next request counts all the same.
+    fixture.steering().process_timeouts(at(14s));
+    CHECK(load().idle_flows == 0);
+    CHECK(fixture.steering().tracked_flows() == 0);
+    send({401, 4050, 200}, at(15s));
+    CHECK(load().in_flight == 1);
+    CHECK(send({601, 6050, 0}, at(15040ms)).exchange_duration == 40ms);
+    flow_packet end = steering_fixture::data(1, opened.token);
+    end.finishes = true;
+    end.segment = {601, 6050, 0};
+    fixture.send(end, at(16s));
+    CHECK(load().in_flight == 0);
+    CHECK(load().idle_flows == 0);
+}
+
+TEST_CASE("a request on a flow that another daemon opened counts as load")
+{
+    // Guards against a daemon that takes flows over, after a start or a change
+    // of the rotation, and regards their targets as free.
+    steering_fixture fixture(1);
+    const flow_token token = token_of("a0");
+    flow_packet request = steering_fixture::data(1, token);
+    request.segment = {1000, 70, 200};
+    const auto result = fixture.send(request, at(1s));
+    const target_id target = std::get<forward>(result.decision).target;
+    CHECK(fixture.steering().observer().load_of(target).in_flight == 1);
+    request.segment = {1200, 900, 0};
+    fixture.send(request, at(1030ms));
+    CHECK(fixture.steering().observer().load_of(target).in_flight == 0);
+}
+
+TEST_CASE("new flows go to targets whose open flows are idle")
+{
+    // Guards against placing new flows by the number of open flows: half of
+    // the targets have ten idle flows each, the others have both slots at work.
+    steering_fixture fixture(2);
+    std::uint16_t port = 1;
+    const auto request = [&](const std::string& target, flow_segment segment)
+    {
+        flow_packet packet = steering_fixture::data(port, token_of(target));
+        packet.segment = segment;
+        fixture.send(packet, at(1s));
+    };
+    for (const char* target : {"a0", "b0"})
+    {
+        for (int i = 0; i < 10; ++i, ++port)
+        {
+            request(target, {1, 50, 200});
+            request(target, {201, 2050, 0});
+        }
+    }
+    for (const char* target : {"a1", "b1"})
+    {
+        for (int i = 0; i < 4; ++i, ++port)
+        {
+            request(target, {1, 50, 200});
+        }
+    }
+    for (int i = 0; i < 2; ++i)
+    {
+        const forward opened = fixture.open(++port, at(1001ms));
+        CHECK(fixture.name_of(opened.target).back() == '0');
+    }
+}
+
 TEST_CASE("a flow without an end stops counting as load after its lifetime")
 {
     steering_fixture fixture(1);
--- a/catkinkeel/steering/target_observer.cpp
+++ b/catkinkeel/steering/target_observer.cpp
@@ -12,6 +12,15 @@
 /// Each new exchange time enters the moving average with a weight of 1/8.
 constexpr int smoothing_divisor = 8;
 
+/// The part of a target's load that includes flows of this activity; null for
+/// flows that are not counted.
+std::uint32_t target_load::*count_of(flow_activity activity)
+{
+    constexpr std::array<std::uint32_t target_load::*, 3> counts{
+        nullptr, &target_load::idle_flows, &target_load::in_flight};
+    return counts.at(static_cast<std::size_t>(activity));
+}
+
 void decrement(std::uint32_t& count)
 {
     count -= count > 0 ? 1 : 0;
@@ -32,9 +41,28 @@
                   { return view.find_target(each.first) == nullptr; });
 }
 
-void target_observer::flow_started(target_id target)
+void target_observer::activity_changed(target_id target, flow_activity from,
+                                       flow_activity to)
 {
-    ++loads_[target].in_flight;
+    if (from == to)
+    {
+        return;
+    }
+    // A target without state has left the view, or is new to this daemon.
+    const auto found = loads_.find(target);
+    if (found == loads_.end() && to == flow_activity::none)
+    {
+        return;
+    }
+    target_load& load = found == loads_.end() ? loads_[target] : found->second;
+    if (const auto former = count_of(from))
+    {
+        decrement(load.*former);
+    }
+    if (const auto next = count_of(to))
+    {
+        ++(load.*next);
+    }
 }
 
 void target_observer::opening_sent(const view_target& target, instant now)
@@ -51,15 +79,6 @@
     }
 }
 
-void target_observer::flow_ended(target_id target)
-{
-    const auto found = loads_.find(target);
-    if (found != loads_.end())
-    {
-        decrement(found->second.in_flight);
-    }
-}
-
 void target_observer::opening_resolved(target_id target)
 {
     const auto found = loads_.find(target);
--- a/catkinkeel/steering/target_observer.hpp
+++ b/catkinkeel/steering/target_observer.hpp
@@ -6,6 +6,7 @@
 
 #include "catkinkeel/base/identifier.hpp"
 #include "catkinkeel/base/time.hpp"
+#include "catkinkeel/steering/flow_tracker.hpp"
 #include "catkinkeel/steering/view.hpp"
 
 #include <compare>
@@ -57,8 +58,9 @@
 /// Load and health of one target, measured on the flows of this daemon only.
 struct target_load
 {
-    /// Open flows.
+    /// Flows with a request at work, and other open flows.
     std::uint32_t in_flight = 0;
+    std::uint32_t idle_flows = 0;
     /// Opening packets that are neither answered nor overdue.
     std::uint32_t pending_openings = 0;
     /// Unanswered opening packets since the last answer.
@@ -66,8 +68,9 @@
     /// When a caller last followed up an answer of the target.
     std::optional<instant> answered_at;
     instant avoid_until;
-    /// Moving average of the duration of an exchange, which lasts from the end
-    /// of the handshake to the caller's FIN; empty before the first FIN.
+    /// Moving average of the duration of an exchange, which lasts from the last
+    /// data of a request to the first acknowledgement of its answer; empty
+    /// before the first answer.
     std::optional<duration> exchange_time;
 
     friend auto operator<=>(const target_load&, const target_load&) = default;
@@ -91,9 +94,9 @@
 
     /// Records that an opening packet was sent to `target`.
     void opening_sent(const view_target& target, instant now);
-    /// Adds a flow to the load of its target, or removes it.
-    void flow_started(target_id target);
-    void flow_ended(target_id target);
+    /// Moves a flow from one part of its target's load to another.
+    void activity_changed(target_id target, flow_activity from,
+                          flow_activity to);
     /// Records a caller's follow-up to the target's answer to an opening
     /// packet.
     void answered(const view_target& target, instant now);
