--- a/catkinkeel/edge/odd_input_test.cpp
+++ b/catkinkeel/edge/odd_input_test.cpp
@@ -107,6 +107,59 @@
     }
 }
 
+TEST_CASE("a store out of reach gets few of the costly reads")
+{
+    // Guards against hundreds of daemons that repeat reads of the newest state,
+    // which cost ten times as much, at a store that cannot answer.
+    class unreachable_source : public metadata_source
+    {
+    public:
+        metadata_result read_all(read_consistency consistency) override
+        {
+            return reachable ? metadata_result(make_site_update({{5}, 80}))
+                             : fail(consistency);
+        }
+        metadata_result read_changes(std::uint64_t revision, duration /*wait*/,
+                                     read_consistency consistency) override
+        {
+            return reachable ? metadata_result(steering::metadata_update{
+                                   .revision = revision})
+                             : fail(consistency);
+        }
+        [[nodiscard]] std::string name() const override
+        {
+            return "unreachable";
+        }
+        void stop() override {}
+
+        std::atomic<bool> reachable{true};
+        std::atomic<int> failed_newest{0};
+        std::atomic<int> failed_replica{0};
+
+    private:
+        metadata_result fail(read_consistency consistency)
+        {
+            ++(consistency == read_consistency::newest ? failed_newest
+                                                       : failed_replica);
+            return source_failure{"503"};
+        }
+    };
+    daemon_fixture site;
+    site.daemon.reset();
+    const auto source = std::make_shared<unreachable_source>();
+    site.start(source);
+    REQUIRE(eventually([&] { return site.is_ready(); }));
+    source->reachable = false;
+    REQUIRE(eventually([&] { return source->failed_replica >= 30; }));
+    CHECK(source->failed_newest <= 30 / 3 + 2);
+    CHECK(source->failed_newest >= 30 / 3 - 2);
+    source->reachable = true;
+    CHECK(eventually(
+        [&] {
+            return has_metric(site, "catkinkeel_store_reads_confirming_total");
+        }));
+}
+
 TEST_CASE("an exception while a packet is handled does not end the daemon")
 {
     // Guards against one malformed packet that takes the process down.
--- a/catkinkeel/edge/reading_duty.cpp
+++ b/catkinkeel/edge/reading_duty.cpp
@@ -11,6 +11,15 @@
 namespace catkinkeel::edge
 {
 
+namespace
+{
+
+/// Of this many reads in a row while the store is out of reach, one asks for
+/// the newest state at once, in case that only replicas do not answer.
+constexpr std::uint32_t newest_read_interval_in_outage = 4;
+
+} // namespace
+
 duration retry_delay(const reading_settings& settings, std::uint32_t failures)
 {
     return backoff_delay(settings.first_retry_delay,
@@ -194,13 +203,19 @@
 metadata_result reading_duty::read_new_changes()
 {
     const read_plan plan = freshness_.plan_read(revision_, rank_, boot_now());
-    // After a failure only the newest state shows which changes were missed.
-    if (!plan.confirm && failures_ == 0)
+    // After a failure only the newest state shows which changes were missed. A
+    // replica, which costs a fraction, is asked first whether the store answers
+    // at all.
+    const bool tests_reachability =
+        failures_ % newest_read_interval_in_outage != 0;
+    if ((!plan.confirm && failures_ == 0) || tests_reachability)
     {
-        metadata_result replica_result =
-            timed_read(read_consistency::any_replica,
-                       &reading_duty::read_changes, revision_, plan.wait);
-        if (!std::holds_alternative<source_failure>(replica_result))
+        metadata_result replica_result = timed_read(
+            read_consistency::any_replica, &reading_duty::read_changes,
+            revision_, tests_reachability ? duration::zero() : plan.wait);
+        const bool failed =
+            std::holds_alternative<source_failure>(replica_result);
+        if (failed == tests_reachability)
         {
             return replica_result;
         }
