--- a/catkinkeel/steering/catalog_test.cpp
+++ b/catkinkeel/steering/catalog_test.cpp
@@ -150,6 +150,7 @@
     // another writer.
     catalog under_test = make_catalog(4);
     std::vector<metadata_change> odd;
+    odd.reserve(10'000);
     for (int i = 0; i < 10'000; ++i)
     {
         odd.push_back(reject("odd" + std::to_string(i)));
