Pause a failing catalogue and forget rejected entries that are gone

An exception that repeats would have kept the catalogue thread busy, and an odd entry that was removed while the history was lost and written again was not reported.

--- a/catkinkeel/edge/catalog_duty.cpp
+++ b/catkinkeel/edge/catalog_duty.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <thread>
 #include <utility>
 
 namespace catkinkeel::edge
@@ -17,6 +18,10 @@
 /// has all targets; the log would take longer than the start.
 constexpr std::size_t max_standing_lines = 16;
 
+/// Pause after an unexpected exception, so that one that repeats keeps no
+/// processor busy.
+constexpr duration failed_step_pause = 100ms;
+
 /// Longest wait for a read result if nothing in the catalogue expires.
 constexpr duration max_wait = 1h;
 
@@ -62,6 +67,7 @@
         {
             // A part of the update may be missing from the catalogue.
             *full_read_requested_ = true;
+            std::this_thread::sleep_for(failed_step_pause);
         }
     }
 }
--- a/catkinkeel/steering/catalog.cpp
+++ b/catkinkeel/steering/catalog.cpp
@@ -21,6 +21,12 @@
 /// than half of those announced, is attributed to the store.
 constexpr std::size_t min_mass_withdrawal_targets = 3;
 
+/// What identifies a rejected entry: its target's name, or else its key.
+const std::string& rejection_name(const entry_rejected& rejection)
+{
+    return rejection.target.empty() ? rejection.key : rejection.target;
+}
+
 } // namespace
 
 void catalog::note_store_unreachable(instant now)
@@ -243,8 +249,7 @@
 
 void catalog::report_rejection(const entry_rejected& rejection, events& out)
 {
-    const std::string& name =
-        rejection.target.empty() ? rejection.key : rejection.target;
+    const std::string& name = rejection_name(rejection);
     const auto found = rejections_.find(name);
     if (found != rejections_.end() && found->second == rejection)
     {
@@ -271,6 +276,7 @@
                                events& out)
 {
     std::set<std::string> named;
+    std::set<std::string> rejected;
     std::set<std::string> out_of_service_data_centres;
     for (const metadata_change& change : update.changes)
     {
@@ -278,6 +284,10 @@
         {
             named.insert(target->target.name);
         }
+        else if (const auto* rejection = std::get_if<entry_rejected>(&change))
+        {
+            rejected.insert(rejection_name(*rejection));
+        }
         else if (const auto* switched =
                      std::get_if<data_centre_service_changed>(&change))
         {
@@ -291,6 +301,8 @@
             mark_missing(target, now, out);
         }
     }
+    std::erase_if(rejections_, [&](const auto& item)
+                  { return !rejected.contains(item.first); });
     const std::set<std::string> before = out_of_service_data_centres_;
     for (const std::string& name : before)
     {
--- a/catkinkeel/steering/catalog_test.cpp
+++ b/catkinkeel/steering/catalog_test.cpp
@@ -130,6 +130,10 @@
     CHECK(rejection_count(under_test.apply(
               update(15, {reject("odd", "no address")}), at(5s))) == 1);
     under_test.apply(update(16, {announce("odd", 99)}), at(6s));
+    CHECK(rejection_count(under_test.apply(
+              update(17, {reject("odd", "no address")}), at(7s))) == 1);
+    // Removed while the history was lost, and written again.
+    under_test.apply(update(17, {announce("t0", 10)}, true), at(7s));
     CHECK(rejection_count(under_test.apply(
               update(17, {reject("odd", "no address")}), at(7s))) == 1);
     const metadata_change configuration =
