--- a/catkinkeel/steering/admission.hpp
+++ b/catkinkeel/steering/admission.hpp
@@ -12,9 +12,9 @@
 namespace catkinkeel::steering
 {
 
-/// Maximum number of flows in flight per slot of the best target at which a new
-/// flow starts. Requests in use take 22 to 29 ms, so 4 flows per slot are about
-/// 100 ms of work, less than the strictest response-time goal of 150 ms.
+/// Maximum number of requests at work per slot of the best target at which a new
+/// flow starts. Requests in use take 22 to 39 ms, so 4 requests per slot are
+/// about 100 to 150 ms of work; the strictest response-time goal is 150 ms.
 struct admission_limits
 {
     /// For the original opening packet, whose caller can still be answered in
