--- a/catkinkeel/steering/admission.hpp
+++ b/catkinkeel/steering/admission.hpp
@@ -12,9 +12,9 @@
 namespace catkinkeel::steering
 {
 
-/// Maximum number of requests at work per slot of the best target at which a new
-/// flow starts. Requests in use take 22 to 39 ms, so 4 requests per slot are
-/// about 100 to 150 ms of work; the strictest response-time goal is 150 ms.
+/// Maximum number of requests at work per slot of the best target at which a
+/// new flow starts. Requests in use take 22 to 39 ms, so 4 requests per slot
+/// are about 100 to 150 ms of work; the strictest response-time goal is 150 ms.
 struct admission_limits
 {
     /// For the original opening packet, whose caller can still be answered in
