--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the review's cases. Needs only g++ and make's usual
+# surroundings: no library beyond the standard one.
+set -euo pipefail
+cd "$(dirname "$0")"
+mkdir -p bin
+build() {
+    g++ -std=c++20 -O2 -Wall -Wextra -pthread -I standins \
+        -o "bin/$1" "standins/$1.cpp" standins/site.cpp
+}
+for name in "$@"; do
+    build "$name"
+done
+if [ $# -eq 0 ]; then
+    for source in standins/*.cpp; do
+        name=$(basename "$source" .cpp)
+        [ "$name" = site ] || build "$name"
+    done
+fi
