--- a/review/standins/deployment.hpp
+++ b/review/standins/deployment.hpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
