--- a/review/build.sh
+++ b/review/build.sh
@@ -6,14 +6,14 @@
 mkdir -p bin
 build() {
     g++ -std=c++20 -O2 -Wall -Wextra -pthread -I standins \
-        -o "bin/$1" "standins/$1.cpp" standins/site.cpp
+        -o "bin/$1" "standins/$1.cc" standins/site.cc
 }
 for name in "$@"; do
     build "$name"
 done
 if [ $# -eq 0 ]; then
-    for source in standins/*.cpp; do
-        name=$(basename "$source" .cpp)
+    for source in standins/*.cc; do
+        name=$(basename "$source" .cc)
         [ "$name" = site ] || build "$name"
     done
 fi
--- a/review/standins/deployment.hpp
+++ b/review/standins/deployment.h
@@ -3,8 +3,6 @@
 // A deployment like exlibris-centrala: three zones with daemons, a store, and
 // clients in each zone. Used by the cases' main programs.
 
-#include "site.hpp"
-
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -17,10 +15,13 @@
 #include <unistd.h>
 #include <vector>
 
+#include "site.h"
+
 namespace review
 {
 
-/// `stability_ms` of the settings, and 200 ms for the way from client to target.
+/// `stability_ms` of the settings, and 200 ms for the way from client to
+/// target.
 constexpr double in_touch_ms = 4200;
 
 inline bool trouble_wanted()
@@ -46,6 +47,8 @@
         double flows_per_second = 200;
         double work_ms = 25;
         unsigned seed = 1;
+        /// Bounds in the settings files, in ms.
+        int apply_ms = 3000, drain_ms = 3000, stability_ms = 4000;
     };
 
     deployment(settings s, const std::string& folder)
@@ -88,8 +91,8 @@
         }
         for (std::size_t i = 0; i < daemon_ips.size(); ++i)
         {
-            const std::string name = "frontend-" + s.daemon_zones[i] + "-" +
-                                     std::to_string(i + 1);
+            const std::string name =
+                "frontend-" + s.daemon_zones[i] + "-" + std::to_string(i + 1);
             const std::string file = scratch_ / (name + ".yaml");
             std::ofstream(file)
                 << settings_text({.name = name,
@@ -101,7 +104,10 @@
                                   .control_port = control,
                                   .notice_port = notice,
                                   .store_port = s.store_settings.port,
-                                  .seeds = seeds});
+                                  .seeds = seeds,
+                                  .apply_ms = s.apply_ms,
+                                  .drain_ms = s.drain_ms,
+                                  .stability_ms = s.stability_ms});
             daemons.push_back(std::make_shared<daemon>(
                 daemon::settings{.name = name,
                                  .zone = s.daemon_zones[i],
--- a/review/standins/site.cpp
+++ b/review/standins/site.cc
@@ -1,4 +1,4 @@
-#include "site.hpp"
+#include "site.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -48,9 +48,9 @@
 
 std::string text_of(std::uint32_t ip)
 {
-    return std::to_string(ip >> 24U) + "." + std::to_string((ip >> 16U) & 255U) +
-           "." + std::to_string((ip >> 8U) & 255U) + "." +
-           std::to_string(ip & 255U);
+    return std::to_string(ip >> 24U) + "." +
+           std::to_string((ip >> 16U) & 255U) + "." +
+           std::to_string((ip >> 8U) & 255U) + "." + std::to_string(ip & 255U);
 }
 
 void sleep_ms(double ms)
@@ -91,14 +91,14 @@
         unsigned bits = 0;
         for (std::size_t k = 0; k < 3; ++k)
         {
-            bits = bits << 8U |
-                   (i + k < text.size()
-                        ? static_cast<unsigned char>(text[i + k])
-                        : 0U);
+            bits = bits << 8U | (i + k < text.size()
+                                     ? static_cast<unsigned char>(text[i + k])
+                                     : 0U);
         }
         for (std::size_t k = 0; k < 4; ++k)
         {
-            out += i + k > text.size() ? '=' : digits[bits >> (18 - 6 * k) & 63U];
+            out +=
+                i + k > text.size() ? '=' : digits[bits >> (18 - 6 * k) & 63U];
         }
     }
     return out;
@@ -125,7 +125,8 @@
     {
         if (text[i] == '%' && i + 2 < text.size())
         {
-            out += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
+            out += static_cast<char>(
+                std::stoi(text.substr(i + 1, 2), nullptr, 16));
             i += 2;
         }
         else
@@ -275,8 +276,8 @@
     {
         return 0;
     }
-    return settings_.follower_lag_ms[next_follower_++ %
-                                     settings_.follower_lag_ms.size()];
+    return settings_
+        .follower_lag_ms[next_follower_++ % settings_.follower_lag_ms.size()];
 }
 
 std::string store::answer_range(const std::string& path)
@@ -310,10 +311,10 @@
                  R"(,"created":)" + std::to_string(item->second[0].revision) +
                  R"(,"lease":0})";
     }
-    record_.line("store: range after='" + after + "' serializable=" +
-                 parameter(path, "serializable") + " lag_ms=" +
-                 std::to_string(static_cast<int>(lag)) + " as_of=" +
-                 std::to_string(revision) + " newest=" +
+    record_.line("store: range after='" + after +
+                 "' serializable=" + parameter(path, "serializable") +
+                 " lag_ms=" + std::to_string(static_cast<int>(lag)) +
+                 " as_of=" + std::to_string(revision) + " newest=" +
                  std::to_string(revision_) + " items=" + std::to_string(count));
     return R"({"items":[)" + items + R"(],"has_more":)" +
            (more ? "true" : "false") + R"(,"as_of":)" +
@@ -323,9 +324,8 @@
 std::string store::answer_watch(const std::string& path)
 {
     std::unique_lock lock(mutex_);
-    const double lag =
-        next_lag(settings_.watches_at_followers &&
-                 parameter(path, "serializable") == "1");
+    const double lag = next_lag(settings_.watches_at_followers &&
+                                parameter(path, "serializable") == "1");
     const auto after = std::stoull(parameter(path, "after"));
     const double until = now_ms() + std::stod(parameter(path, "wait_ms"));
     while (revision_at(lag) <= after && now_ms() < until && !stopping_)
@@ -355,8 +355,8 @@
     {
         record_.line("store: watch after=" + std::to_string(after) +
                      " lag_ms=" + std::to_string(static_cast<int>(lag)) +
-                     " as_of=" + std::to_string(revision) + " newest=" +
-                     std::to_string(revision_));
+                     " as_of=" + std::to_string(revision) +
+                     " newest=" + std::to_string(revision_));
     }
     return R"({"events":[)" + events + R"(],"as_of":)" +
            std::to_string(revision) + "}";
@@ -419,8 +419,18 @@
     std::size_t sent = 0;
     while (sent < answer.size())
     {
-        const ssize_t size = ::send(connection, answer.data() + sent,
-                                    answer.size() - sent, MSG_NOSIGNAL);
+        // A hundredth of a second's share of the link at a time.
+        const auto share =
+            static_cast<std::size_t>(settings_.link_mbps * 1e6 / 8 / 100);
+        if (share > 0 && sent > 0)
+        {
+            sleep_ms(10);
+        }
+        const std::size_t next = share > 0
+                                     ? std::min(share, answer.size() - sent)
+                                     : answer.size() - sent;
+        const ssize_t size =
+            ::send(connection, answer.data() + sent, next, MSG_NOSIGNAL);
         if (size <= 0)
         {
             return;
@@ -945,8 +955,7 @@
     client_flow& flow = found->second;
     if ((p.flags & flag_rst) != 0)
     {
-        if (p.zero_sum && flow.open &&
-            p.seq - (flow.peer_seq + 1) > 76'800 &&
+        if (p.zero_sum && flow.open && p.seq - (flow.peer_seq + 1) > 76'800 &&
             (flow.peer_seq + 1) - p.seq > 76'800)
         {
             return;
@@ -1053,7 +1062,8 @@
     {
         flow.closed = true;
         reply.flags = flag_ack;
-        reply.seq = flow.seq + 1 + static_cast<std::uint32_t>(flow.answer.size());
+        reply.seq =
+            flow.seq + 1 + static_cast<std::uint32_t>(flow.answer.size());
         reply.ack = p.seq + 1;
         send_to_client(t.socket, reply);
         return;
@@ -1087,8 +1097,9 @@
               target_flow& done = owner->second.flows.at(key);
               done.running = false;
               done.answered = true;
-              done.answer = "HTTP/1.1 200 OK\r\nX-Catkinkeel-Target-Seal: " +
-                            id + "\r\nContent-Length: 4\r\n\r\ndone";
+              done.answer =
+                  "HTTP/1.1 200 OK\r\nX-Catkinkeel-Target-Seal: " + id +
+                  "\r\nContent-Length: 4\r\n\r\ndone";
               send_answer(id, key, 200);
           });
 }
@@ -1154,9 +1165,12 @@
            "data_dir: null\ndiscovery: \"platform\"\nentry: \"announcement\"\n"
            "heartbeat_ms: 1200\nfault_tolerance:\n  machines: 2\n  zones: 1\n"
            "  region_count: 0\nbounds:\n  seed_lag_s: 3\n  reuse_after_s: 2\n"
-           "  stability_ms: 4000\n  ack_ms: 5000\n  catch_up_s: 4\n"
-           "  drain_ms: 3000\n  grace_s: 6\n  loss_slack_ms: 200\n"
-           "  config_apply_ms: 3000\n  rollback_slack_ms: 250\n"
+           "  stability_ms: "
+        << machine.stability_ms
+        << "\n  ack_ms: 5000\n  catch_up_s: 4\n  drain_ms: " << machine.drain_ms
+        << "\n  grace_s: 6\n  loss_slack_ms: 200\n  config_apply_ms: "
+        << machine.apply_ms
+        << "\n  rollback_slack_ms: 250\n"
            "  max_stretch_ms: 12000\n  warmup_factor: 1.5\n"
            "  warmup_slack: 5\n  evacuation_ms: 5000\n  recovery_s: 12\n"
            "  reorder_window_ms: 2000\n  flow_max_s: 60\nhash: \"steady\"\n"
--- a/review/standins/site.hpp
+++ b/review/standins/site.h
@@ -4,6 +4,8 @@
 // and targets, as PROTOCOL.md describes them. They run in one process, which
 // also starts and signals the daemons under test. Only POSIX is used.
 
+#include <atomic>
+#include <condition_variable>
 #include <cstdint>
 #include <deque>
 #include <fstream>
@@ -11,8 +13,6 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <condition_variable>
-#include <atomic>
 #include <queue>
 #include <random>
 #include <set>
@@ -55,6 +55,9 @@
         std::size_t max_items = 500;
         std::size_t max_page_bytes = 1'000'000;
         double answer_ms = 4;
+        /// Speed at which one machine gets an answer over its link; 0: no
+        /// limit.
+        double link_mbps = 0;
     };
 
     store(settings s, record_file& record);
@@ -134,13 +137,19 @@
     /// the daemon out of rotation.
     void poll_readiness();
 
-    [[nodiscard]] bool in_rotation() const { return in_rotation_; }
+    [[nodiscard]] bool in_rotation() const
+    {
+        return in_rotation_;
+    }
     /// Whether for `stability_ms` nothing was done to the process.
     [[nodiscard]] bool in_touch(double stability_ms) const
     {
         return !disturbed_now_ && now_ms() - disturbed_at_ >= stability_ms;
     }
-    [[nodiscard]] const settings& site() const { return settings_; }
+    [[nodiscard]] const settings& site() const
+    {
+        return settings_;
+    }
 
 private:
     void disturb(bool ongoing, const std::string& what);
@@ -324,6 +333,8 @@
     std::uint16_t packet_port = 0, readiness_port = 0, control_port = 0;
     std::uint16_t notice_port = 0, store_port = 0;
     std::vector<std::string> seeds;
+    /// `config_apply_ms`, `drain_ms` and `stability_ms`.
+    int apply_ms = 3000, drain_ms = 3000, stability_ms = 4000;
 };
 std::string settings_text(const machine_settings& machine);
 
--- a/review/standins/stale_pages.cpp
+++ b/review/standins/stale_pages.cc
@@ -5,12 +5,12 @@
 // touch acknowledged that the target is draining, taken from the client and
 // sent on by machines in touch. The confirmation is the store's.
 
-#include "deployment.hpp"
-
 #include <algorithm>
 #include <iostream>
 #include <unistd.h>
 
+#include "deployment.h"
+
 namespace
 {
 
@@ -28,7 +28,8 @@
 constexpr double leaving_share = 0.13;
 constexpr int rounds = 4;
 
-/// Two followers, 0.2 s and 3 s behind, answer the `serializable` reads in turn.
+/// Two followers, 0.2 s and 3 s behind, answer the `serializable` reads in
+/// turn.
 store::settings lagging_followers()
 {
     store::settings settings;
@@ -64,17 +65,17 @@
         late += counts ? 1 : 0;
         site.record.line(
             "target " + each.target.id + " took " + each.attempt + " " +
-            std::to_string(static_cast<int>(each.arrived_at -
-                                            drained->second)) +
+            std::to_string(
+                static_cast<int>(each.arrived_at - drained->second)) +
             " ms after the store confirmed that it drains, through " +
             (through ? through->site().name : "?") +
             (counts ? ", in touch: BROKEN" : ", not in touch"));
     };
 
     const std::string host = site.address(9, 1);
-    site.platform->put("op/config",
-                       configuration_text(
-                           7, {{"r-proof", host, "orderdesk", 8443}},
+    site.platform->put(
+        "op/config",
+        configuration_text(7, {{"r-proof", host, "orderdesk", 8443}},
                            {"orderdesk"}));
     std::vector<target_info> targets;
     const std::vector<std::string> zones{"zilina-a", "zilina-b", "trnava-c"};
@@ -120,8 +121,7 @@
         {
             // The site's dose of `herd_kill`: 0.55 of the daemons at once.
             pause_ms(500);
-            std::shuffle(daemons.begin(),
-                         daemons.end(), site.random);
+            std::shuffle(daemons.begin(), daemons.end(), site.random);
             for (std::size_t i = 0; i < killed_daemons; ++i)
             {
                 daemons[i]->kill();
--- a/review/standins/stale_watch.cpp
+++ b/review/standins/stale_watch.cc
@@ -5,10 +5,10 @@
 // of a version is handled as only an older version allows (here: run by the old
 // service), by machines in touch.
 
-#include "deployment.hpp"
-
 #include <iostream>
 
+#include "deployment.h"
+
 namespace
 {
 
@@ -58,12 +58,12 @@
         const bool counts = through && through->in_touch(in_touch_ms);
         late += counts ? 1 : 0;
         latest = counts ? std::max(latest, age) : latest;
-        site.record.line(
-            "target " + each.target.id + " of the old service took " +
-            each.attempt + ", sent " + std::to_string(static_cast<int>(age)) +
-            " ms after the store confirmed the change, through " +
-            (through ? through->site().name : "?") +
-            (counts ? ", in touch: BROKEN" : ", not in touch"));
+        site.record.line("target " + each.target.id +
+                         " of the old service took " + each.attempt +
+                         ", sent " + std::to_string(static_cast<int>(age)) +
+                         " ms after the store confirmed the change, through " +
+                         (through ? through->site().name : "?") +
+                         (counts ? ", in touch: BROKEN" : ", not in touch"));
     };
 
     const std::string host = site.address(9, 1);
@@ -72,8 +72,9 @@
     const auto publish = [&](const std::string& next)
     {
         const double at = site.platform->put(
-            "op/config", configuration_text(
-                             version, {{"r-proof", host, next, 8443}}, services));
+            "op/config",
+            configuration_text(version, {{"r-proof", host, next, 8443}},
+                               services));
         version += 3;
         const std::lock_guard lock(mutex);
         service = next;
--- a/review/standins/thawed_peer.cpp
+++ b/review/standins/thawed_peer.cc
@@ -1,14 +1,14 @@
 // Case: a machine is suspended for 4 s and wakes. The store's followers are
 // seconds behind. A zone is evacuated while the machine stands still.
 //
-// Rule EVAC: a request reaches a target in a zone later than evacuation_ms after
-// its evacuation was acknowledged and before it is taken back, from a machine in
-// touch.
-
-#include "deployment.hpp"
+// Rule EVAC: a request reaches a target in a zone later than evacuation_ms
+// after its evacuation was acknowledged and before it is taken back, from a
+// machine in touch.
 
 #include <iostream>
 
+#include "deployment.h"
+
 namespace
 {
 
@@ -82,9 +82,9 @@
     };
 
     const std::string host = site.address(9, 1);
-    site.platform->put("op/config",
-                       configuration_text(
-                           7, {{"r-proof", host, "orderdesk", 8443}},
+    site.platform->put(
+        "op/config",
+        configuration_text(7, {{"r-proof", host, "orderdesk", 8443}},
                            {"orderdesk"}));
     for (std::size_t i = 0; i < 12; ++i)
     {
@@ -114,9 +114,9 @@
         wait_for_newest_read(now_ms(), 3000);
         pause_ms(600);
         const double start = now_ms();
-        std::thread freezer([&] {
-            trouble ? machine->freeze(freeze_ms) : pause_ms(freeze_ms);
-        });
+        std::thread freezer(
+            [&]
+            { trouble ? machine->freeze(freeze_ms) : pause_ms(freeze_ms); });
         wait_for_newest_read(start + 100, 2700);
         pause_ms(20);
         const double at = site.platform->put("op/evacuate/" + evacuated, "{}");
