--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -24,6 +24,9 @@
 /// target.
 constexpr double in_touch_ms = 4200;
 
+/// Of `metrics` in deploy/system.toml.
+constexpr std::uint16_t metrics_port = 9464;
+
 inline bool trouble_wanted()
 {
     const char* text = std::getenv("TROUBLE");
@@ -55,8 +58,12 @@
         : record(folder + "/record.txt"), random(s.seed)
     {
         std::random_device entropy;
-        // Two random numbers in the loopback range keep runs apart.
-        network_ = "127." + std::to_string(10 + entropy() % 200) + ".";
+        // A random part of the loopback range keeps runs apart. The daemons'
+        // metrics port is fixed, so its addresses must be free.
+        do
+        {
+            network_ = "127." + std::to_string(10 + entropy() % 200) + ".";
+        } while (!is_free(network_ + "1.1", metrics_port));
         scratch_ = std::filesystem::temp_directory_path() /
                    ("review-" + std::to_string(::getpid()));
         std::filesystem::create_directories(scratch_);
--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -350,6 +350,8 @@
                                const std::vector<route_text>& routes,
                                const std::vector<std::string>& services);
 
+bool is_free(const std::string& address, std::uint16_t port);
+
 /// A UDP and TCP port that is free on all of `addresses`.
 std::uint16_t free_port(const std::vector<std::string>& addresses);
 
