--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,5 +3,5 @@
 # TROUBLE=0 leaves the disruption out.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
-[ -x target/apps/catkinkeel-edge ] && [ -x review/bin/stale_pages ] || exit 2
-exec timeout -k 2 118 review/bin/stale_pages "$folder"
+[ -x target/apps/catkinkeel-edge ] && [ -x review/bin/route_growth ] || exit 2
+exec timeout -k 2 118 review/bin/route_growth "$folder"
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -63,7 +63,8 @@
         do
         {
             network_ = "127." + std::to_string(10 + entropy() % 200) + ".";
-        } while (!is_free(network_ + "1.1", metrics_port));
+        } while (!is_free(network_ + "1.1", metrics_port) ||
+                 !claim(network_ + "1.250", metrics_port));
         scratch_ = std::filesystem::temp_directory_path() /
                    ("review-" + std::to_string(::getpid()));
         std::filesystem::create_directories(scratch_);
--- a/review/standins/site.cc
+++ b/review/standins/site.cc
@@ -928,6 +928,10 @@
     }
     const client_flow flow = found->second;
     flows_.erase(found);
+    if (on_end)
+    {
+        on_end(flow.first_sent, how == "200");
+    }
     if (how == "200")
     {
         ++totals_.answered;
@@ -1234,6 +1238,11 @@
     return true;
 }
 
+bool claim(const std::string& address, std::uint16_t port)
+{
+    return bound_socket(SOCK_DGRAM, address, port) >= 0;
+}
+
 std::uint16_t free_port(const std::vector<std::string>& addresses)
 {
     static std::mt19937 random(std::random_device{}());
--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -221,6 +221,9 @@
     /// Called on the packet thread when a target starts to run a request.
     std::function<void(const run&)> on_run;
 
+    /// Called on the packet thread when an attempt ends at the client.
+    std::function<void(double first_sent, bool answered)> on_end;
+
     struct totals
     {
         std::uint64_t attempts = 0, answered = 0, refused = 0, failed = 0;
@@ -352,6 +355,9 @@
 
 bool is_free(const std::string& address, std::uint16_t port);
 
+/// Binds a UDP port for as long as the process runs; false if it is in use.
+bool claim(const std::string& address, std::uint16_t port);
+
 /// A UDP and TCP port that is free on all of `addresses`.
 std::uint16_t free_port(const std::vector<std::string>& addresses);
 
