--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the review's cases. Needs only g++ and make's usual
-# surroundings: no library beyond the standard one.
+# Builds the stand-ins of the cases into review/bin. Needs only g++ and the standard
+# library.
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p bin
