Limit the transfer of a response by its progress

Cause: one deadline of 900 ms covered the whole response of the store. The configuration is a single item that takes 1.06 s on such a link, so each read ended at the deadline and began anew.

The deadline now ends with the header.

--- a/apps/catkinkeel_edge.cpp
+++ b/apps/catkinkeel_edge.cpp
@@ -75,7 +75,7 @@
     const auto daemon = edge::edge_daemon::start(
         daemon_settings,
         std::make_shared<platform::store_client>(settings.store,
-                                                 settings.store_timeout),
+                                                 settings.response_timeouts),
         std::make_shared<platform::packet_header_codec>(
             daemon_settings.packets.port),
         events);
--- a/catkinkeel/edge/edge_daemon.cpp
+++ b/catkinkeel/edge/edge_daemon.cpp
@@ -72,7 +72,8 @@
     daemon->reading_ = std::make_unique<reading_duty>(
         settings.reading, std::move(source),
         std::make_unique<snapshot_reader>(settings.snapshot_sources,
-                                          settings.snapshot_timeout),
+                                          settings.snapshot_timeout,
+                                          settings.snapshot_transfer),
         daemon->read_results_, full_read_requested, peer_updates, confirmations,
         notice_socket.value(), events, daemon->metrics_);
     daemon->peers_ = std::make_unique<peers_duty>(
--- a/catkinkeel/edge/edge_settings.hpp
+++ b/catkinkeel/edge/edge_settings.hpp
@@ -9,6 +9,7 @@
 #include "catkinkeel/edge/peer_table.hpp"
 #include "catkinkeel/event/catalogue.hpp"
 #include "catkinkeel/event/record.hpp"
+#include "catkinkeel/http/http_client.hpp"
 #include "catkinkeel/steering/catalog.hpp"
 #include "catkinkeel/steering/selection.hpp"
 #include "catkinkeel/steering/steerer.hpp"
@@ -88,8 +89,11 @@
     /// Control addresses of daemons from which to request a snapshot; they may
     /// be stale.
     std::vector<endpoint> snapshot_sources;
-    /// Timeout of one snapshot request.
+    /// From a snapshot request to the end of the header of its response.
     duration snapshot_timeout = 700ms;
+    /// The store is not read during a transfer, so it must be shorter than the
+    /// time in which a store that became reachable has to be followed again.
+    body_timeouts snapshot_transfer{.idle = 700ms, .total = 3s};
 
     reading_settings reading;
     peer_settings peers;
--- a/catkinkeel/edge/snapshot_reader.cpp
+++ b/catkinkeel/edge/snapshot_reader.cpp
@@ -9,9 +9,10 @@
 {
 
 snapshot_reader::snapshot_reader(std::vector<endpoint> daemons,
-                                 duration timeout)
+                                 duration timeout, body_timeouts transfer)
     : daemons_(std::move(daemons)),
       timeout_(timeout),
+      transfer_(transfer),
       random_(wall_nanoseconds())
 {
 }
@@ -28,6 +29,7 @@
                      .path = snapshot_path,
                      .media_type = "application/json",
                      .timeout = timeout_,
+                     .body = transfer_,
                      .max_body_bytes = max_snapshot_bytes});
     if (const auto* failed = std::get_if<http_failure>(&result))
     {
--- a/catkinkeel/edge/snapshot_reader.hpp
+++ b/catkinkeel/edge/snapshot_reader.hpp
@@ -19,8 +19,10 @@
 class snapshot_reader
 {
 public:
-    /// `timeout` applies to one request.
-    snapshot_reader(std::vector<endpoint> daemons, duration timeout);
+    /// `timeout` limits one request up to the header of its response,
+    /// `transfer` the body.
+    snapshot_reader(std::vector<endpoint> daemons, duration timeout,
+                    body_timeouts transfer);
 
     /// Requests a snapshot from one random daemon, without a retry.
     metadata_result read();
@@ -31,6 +33,7 @@
 private:
     std::vector<endpoint> daemons_;
     duration timeout_;
+    body_timeouts transfer_;
     random_source random_;
     http_client reader_;
 };
--- a/catkinkeel/http/http_client.cpp
+++ b/catkinkeel/http/http_client.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -20,6 +21,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::system::error_code;
+using clock = std::chrono::steady_clock;
 
 /// Maximum size of a response header. A longer one fails as `oversized`.
 constexpr unsigned max_header_bytes = 16U * 1024;
@@ -43,7 +45,8 @@
 
     void start()
     {
-        // One deadline covers connecting, sending and receiving.
+        // Unless the body has its own limits, one deadline covers connecting,
+        // sending and receiving.
         stream_.expires_after(parameters_.timeout);
         const asio::ip::tcp::endpoint server(
             asio::ip::address_v4(parameters_.server.address.value),
@@ -125,13 +128,34 @@
         }
         else
         {
-            http::async_read(stream_, buffer_, parser_,
-                             [self = shared_from_this()](error_code read_error,
-                                                         std::size_t /*bytes*/)
-                             { self->on_read_body(read_error); });
+            // Parses as much of the body as each read returns.
+            parser_.eager(true);
+            if (parameters_.body)
+            {
+                body_deadline_ = clock::now() + parameters_.body->total;
+            }
+            read_body();
         }
     }
 
+    void read_body()
+    {
+        if (parser_.is_done())
+        {
+            finish();
+            return;
+        }
+        if (parameters_.body)
+        {
+            stream_.expires_at(std::min(body_deadline_,
+                                        clock::now() + parameters_.body->idle));
+        }
+        http::async_read_some(stream_, buffer_, parser_,
+                              [self = shared_from_this()](error_code read_error,
+                                                          std::size_t /*bytes*/)
+                              { self->on_read_body(read_error); });
+    }
+
     void on_read_body(error_code error)
     {
         if (error)
@@ -139,6 +163,11 @@
             fail(error, http_failure_kind::truncated_response);
             return;
         }
+        read_body();
+    }
+
+    void finish()
+    {
         std::string body = std::move(parser_.get().body());
         if (body.find('\0') != std::string::npos)
         {
@@ -203,6 +232,8 @@
     http::request<http::empty_body> http_message_;
     beast::flat_buffer buffer_{max_header_bytes};
     http::response_parser<http::string_body> parser_;
+    /// Used only if the request limits the transfer of the body.
+    clock::time_point body_deadline_;
     std::optional<http_result> result_;
 };
 
--- a/catkinkeel/http/http_client.hpp
+++ b/catkinkeel/http/http_client.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -21,7 +22,8 @@
 {
     /// The connection could not be established.
     unreachable,
-    /// The response was not complete before the timeout.
+    /// The response, or the next part of its body, was not complete before its
+    /// timeout.
     timeout,
     /// Any 3xx status. Redirects are not followed, so that a server cannot make
     /// the client connect to an address that is neither in the settings nor in
@@ -54,6 +56,19 @@
     friend auto operator<=>(const http_failure&, const http_failure&) = default;
 };
 
+/// Time limits on a body that may take long to transfer: a server that stopped
+/// sending is detected early, while a slow link may finish.
+struct body_timeouts
+{
+    /// From one received part of the body to the next one.
+    duration idle = 1s;
+    /// From the end of the header to the last byte.
+    duration total = 10s;
+
+    friend auto operator<=>(const body_timeouts&,
+                            const body_timeouts&) = default;
+};
+
 /// A GET request and the limits on its response.
 struct http_request
 {
@@ -63,8 +78,10 @@
     std::string path;
     /// Expected media type, without parameters.
     std::string media_type;
-    /// From the connection attempt to the last byte of the response.
+    /// From the connection attempt to the last byte of the response, or to the
+    /// end of its header if `body` is set.
     duration timeout = 5s;
+    std::optional<body_timeouts> body;
     /// Maximum size of the body in bytes.
     std::size_t max_body_bytes = 1024UL * 1024;
 
