--- a/catkinkeel/edge/http_server.cpp
+++ b/catkinkeel/edge/http_server.cpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <exception>
+#include <string>
 #include <utility>
 
 namespace catkinkeel::edge
@@ -40,6 +41,17 @@
     }
 }
 
+int http_server::serve_snapshot(mg_connection* connection, void* server)
+{
+    auto& sent = static_cast<http_server*>(server)->snapshots_being_sent_;
+    const int status =
+        ++sent <= max_concurrent_snapshots
+            ? serve<&http_server::snapshot_response>(connection, server)
+            : serve<&http_server::snapshot_busy_response>(connection, server);
+    --sent;
+    return status;
+}
+
 outcome<std::shared_ptr<http_server>>
 http_server::open(const http_settings& settings,
                   std::shared_ptr<const readiness> ready,
@@ -51,12 +63,13 @@
     const std::string ports = to_string(settings.readiness) + "," +
                               to_string(settings.metrics) + "," +
                               to_string(settings.control);
-    // Two threads, so that a slow metrics client does not delay readiness
-    // checks.
+    // One thread more than slow clients of snapshots and metrics may occupy, so
+    // that they do not delay readiness checks.
+    const std::string threads = std::to_string(max_concurrent_snapshots + 2);
     std::array<const char*, 9> options{"listening_ports",
                                        ports.c_str(),
                                        "num_threads",
-                                       "2",
+                                       threads.c_str(),
                                        "request_timeout_ms",
                                        "2000",
                                        "enable_keep_alive",
@@ -75,8 +88,7 @@
                            &http_server::serve<&http_server::metrics_response>,
                            server.get());
     mg_set_request_handler(server->context_, snapshot_path,
-                           &http_server::serve<&http_server::snapshot_response>,
-                           server.get());
+                           &http_server::serve_snapshot, server.get());
     return server;
 }
 
@@ -99,6 +111,11 @@
     return {200, "text/plain; version=0.0.4", metrics_->text()};
 }
 
+http_server::response http_server::snapshot_busy_response() const
+{
+    return {503, "text/plain", "other snapshots are being sent\n"};
+}
+
 http_server::response http_server::snapshot_response() const
 {
     const auto view = views_->get();
--- a/catkinkeel/edge/http_server.hpp
+++ b/catkinkeel/edge/http_server.hpp
@@ -9,6 +9,7 @@
 #include "catkinkeel/edge/readiness.hpp"
 #include "catkinkeel/edge/view_board.hpp"
 
+#include <atomic>
 #include <memory>
 #include <string>
 
@@ -30,9 +31,15 @@
                             const http_settings&) = default;
 };
 
+/// Each snapshot holds a server thread for as long as its transfer takes, which
+/// is seconds on a slow link. Threads beyond this number stay free for
+/// readiness checks and metrics.
+inline constexpr int max_concurrent_snapshots = 2;
+
 /// `GET` of the readiness path: 200, or 503 with the reason as text.
 /// `GET /metrics`: the Prometheus text format. `GET` of `snapshot_path`: the
-/// view as JSON, or 503 without one. Each address serves all three paths.
+/// view as JSON, or 503 without one or while `max_concurrent_snapshots` are
+/// being sent. Each address serves all three paths.
 class http_server
 {
 public:
@@ -58,6 +65,8 @@
         std::string body;
     };
 
+    /// Sends a snapshot, or 503 if too many are being sent.
+    static int serve_snapshot(mg_connection* connection, void* server);
     /// Sends what `respond` returns; 500 if it throws.
     template <response (http_server::*respond)() const>
     static int serve(mg_connection* connection, void* server);
@@ -65,10 +74,12 @@
     [[nodiscard]] response readiness_response() const;
     [[nodiscard]] response metrics_response() const;
     [[nodiscard]] response snapshot_response() const;
+    [[nodiscard]] response snapshot_busy_response() const;
 
     std::shared_ptr<const readiness> ready_;
     std::shared_ptr<edge_metrics> metrics_;
     std::shared_ptr<const view_board> views_;
+    std::atomic<int> snapshots_being_sent_{0};
     mg_context* context_ = nullptr;
 };
 
--- a/catkinkeel/edge/snapshot_test.cpp
+++ b/catkinkeel/edge/snapshot_test.cpp
@@ -1,6 +1,7 @@
 // Tests of snapshots that daemons request from each other while the store is
 // unreachable.
 
+#include "catkinkeel/edge/http_server.hpp"
 #include "catkinkeel/edge/snapshot_json.hpp"
 #include "catkinkeel/edge/test_daemon.hpp"
 
@@ -140,6 +141,43 @@
         }));
 }
 
+TEST_CASE("slow readers of snapshots do not delay readiness checks")
+{
+    // Guards against routers that take a daemon out of rotation because all
+    // threads of its HTTP server are sending snapshots over slow links.
+    daemon_fixture site;
+    steering::metadata_update update = ::make_site_update(site.socket->local());
+    auto& references =
+        std::get<steering::configuration_published>(update.changes[0])
+            .configuration.references;
+    // More than the kernel buffers for a connection whose client reads nothing.
+    constexpr std::uint32_t reference_count = 100'000;
+    for (std::uint32_t i = 0; i < reference_count; ++i)
+    {
+        references.push_back(
+            {"r" + std::to_string(i), {{i + 1000}, 80}, {{"orderdesk", 1}}});
+    }
+    site.source->enqueue(std::move(update));
+    REQUIRE(eventually([&] { return site.is_ready(); }));
+    asio::io_context context;
+    std::vector<asio::ip::tcp::socket> slow_readers;
+    for (int i = 0; i < 2 * max_concurrent_snapshots; ++i)
+    {
+        slow_readers.emplace_back(context);
+        slow_readers.back().open(asio::ip::tcp::v4());
+        slow_readers.back().set_option(
+            asio::socket_base::receive_buffer_size(4096));
+        slow_readers.back().connect(
+            {asio::ip::address_v4::loopback(), site.settings.control.port});
+        asio::write(slow_readers.back(),
+                    asio::buffer(std::string("GET ") + snapshot_path +
+                                 " HTTP/1.1\r\nHost: x\r\n\r\n"));
+    }
+    const instant started = steady_now();
+    CHECK(site.is_ready());
+    CHECK(steady_now() - started < 500ms);
+}
+
 TEST_CASE("a daemon without a configuration serves no snapshot")
 {
     const daemon_fixture site;
