Bound the time in which a peer's confirmation is followed

Causes: a daemon that a peer had told of a later revision gave its replica 100 ms before it read the newest state, and every further confirmation started that wait anew; confirmations were taken up only at the start of a read, and a due read of the newest state waited for the end of the period.

A replica now gets one read to deliver what a peer has confirmed. Then the newest state is read, at once or, if the bound allows, in the next period. The bound counts from the time as of which the applied state is known to be the newest, so later confirmations do not move it. A period ends when a confirmation is due.

Tests of edge and platform pass.

--- a/catkinkeel/edge/freshness.cpp
+++ b/catkinkeel/edge/freshness.cpp
@@ -29,12 +29,19 @@
                            settings.rank_step_fraction * steps);
 }
 
-void freshness_tracker::record(const confirmation& received, instant now)
+void freshness_tracker::record(const confirmation& received)
 {
     if (!last_ || received.at > last_->at)
     {
         last_ = received;
-        recorded_at_ = now;
+    }
+}
+
+void freshness_tracker::note_applied(std::uint64_t revision)
+{
+    if (last_ && !is_behind(revision))
+    {
+        applied_as_of_ = last_->at;
     }
 }
 
@@ -42,26 +49,30 @@
                                        const reader_rank& rank,
                                        instant now) const
 {
-    if (!last_)
-    {
-        return {.confirm = true};
-    }
-    const bool behind = last_->revision > revision;
-    if (behind && now - recorded_at_ >= settings_.replica_delay)
-    {
-        return {.confirm = true};
-    }
-    const duration remaining =
-        last_->at + max_confirmation_age(settings_, rank) - now;
-    if (remaining <= duration::zero())
+    const duration remaining = next_confirmation(rank) - now;
+    if (!last_ || remaining <= duration::zero())
     {
         return {.confirm = true};
     }
     const duration max_wait =
-        behind ? settings_.replica_delay
-               : fraction_of(settings_.effect_bound,
-                             settings_.replica_wait_fraction);
+        is_behind(revision) ? settings_.replica_delay
+                            : fraction_of(settings_.effect_bound,
+                                          settings_.replica_wait_fraction);
     return {.wait = std::min(remaining, max_wait)};
 }
 
+bool freshness_tracker::replica_too_old(std::uint64_t revision,
+                                        const reader_rank& rank,
+                                        instant next_read) const
+{
+    return is_behind(revision) &&
+           next_read > applied_as_of_ + max_confirmation_age(settings_, rank);
+}
+
+instant freshness_tracker::next_confirmation(const reader_rank& rank) const
+{
+    return last_ ? last_->at + max_confirmation_age(settings_, rank)
+                 : instant{};
+}
+
 } // namespace catkinkeel::edge
--- a/catkinkeel/edge/freshness.hpp
+++ b/catkinkeel/edge/freshness.hpp
@@ -50,8 +50,8 @@
     /// Longest wait in a read from a replica, as a fraction of `effect_bound`.
     /// A stale replica is detected only when the wait ends.
     double replica_wait_fraction = 0.3;
-    /// Time after which a replica normally has a change that a peer has already
-    /// confirmed.
+    /// Longest wait in a read from a replica if a peer has confirmed a later
+    /// revision. By then a replica normally has it.
     duration replica_delay = 100ms;
 
     friend auto operator<=>(const freshness_settings&,
@@ -74,6 +74,10 @@
 };
 
 /// Keeps the newest confirmation and plans the next read. Not thread-safe.
+///
+/// The time in which a change takes effect is counted from the time as of which
+/// the applied state is known to be the newest. Later confirmations do not
+/// extend it until their revision is applied.
 class freshness_tracker
 {
 public:
@@ -83,7 +87,10 @@
     }
 
     /// Stores `received` if it is newer than the last confirmation.
-    void record(const confirmation& received, instant now);
+    void record(const confirmation& received);
+
+    /// The daemon has applied all changes up to `revision`.
+    void note_applied(std::uint64_t revision);
 
     [[nodiscard]] const std::optional<confirmation>& last() const
     {
@@ -96,10 +103,28 @@
                                       const reader_rank& rank,
                                       instant now) const;
 
+    /// Whether the newest state must be read although a replica was read just
+    /// now: the replica has not delivered a revision that a peer has confirmed,
+    /// and the read after this one, at `next_read`, would be too late.
+    /// `revision` includes what the replica returned.
+    [[nodiscard]] bool replica_too_old(std::uint64_t revision,
+                                       const reader_rank& rank,
+                                       instant next_read) const;
+
+    /// Time at which the newest state must be read unless a newer confirmation
+    /// arrives before. The epoch if nothing was confirmed yet.
+    [[nodiscard]] instant next_confirmation(const reader_rank& rank) const;
+
 private:
+    [[nodiscard]] bool is_behind(std::uint64_t revision) const
+    {
+        return last_ && last_->revision > revision;
+    }
+
     freshness_settings settings_;
     std::optional<confirmation> last_;
-    instant recorded_at_;
+    /// The applied state includes every change acknowledged before this time.
+    instant applied_as_of_;
 };
 
 } // namespace catkinkeel::edge
--- a/catkinkeel/edge/reading_duty.cpp
+++ b/catkinkeel/edge/reading_duty.cpp
@@ -121,7 +121,16 @@
         read_snapshot();
         return steady_now() + retry_delay(settings_, failures_);
     }
-    return full_read_needed_ ? started : started + settings_.min_read_period;
+    return full_read_needed_ ? started : next_read(started);
+}
+
+instant reading_duty::next_read(instant started)
+{
+    // Confirmations that arrived during the read may postpone the next one.
+    process_peer_updates();
+    const instant next_confirmation =
+        steady_now() + (freshness_.next_confirmation(rank_) - boot_now());
+    return std::min(started + settings_.min_read_period, next_confirmation);
 }
 
 void reading_duty::process_peer_updates()
@@ -131,7 +140,7 @@
         rank_ = received->rank;
         if (received->confirmed)
         {
-            freshness_.record(*received->confirmed, boot_now());
+            freshness_.record(*received->confirmed);
         }
     }
 }
@@ -164,6 +173,7 @@
         event_number::snapshot_taken,
         {field("revision", update->revision), field("former", revision_)});
     revision_ = update->revision;
+    freshness_.note_applied(revision_);
     results_->push({std::make_shared<const steering::metadata_update>(
         std::move(*update))});
 }
@@ -202,7 +212,8 @@
 
 metadata_result reading_duty::read_new_changes()
 {
-    const read_plan plan = freshness_.plan_read(revision_, rank_, boot_now());
+    const instant started = boot_now();
+    const read_plan plan = freshness_.plan_read(revision_, rank_, started);
     // After a failure only the newest state shows which changes were missed. A
     // replica, which costs a fraction, is asked first whether the store answers
     // at all.
@@ -215,7 +226,13 @@
             revision_, tests_reachability ? duration::zero() : plan.wait);
         const bool failed =
             std::holds_alternative<source_failure>(replica_result);
-        if (failed == tests_reachability)
+        const auto* update =
+            std::get_if<steering::metadata_update>(&replica_result);
+        const bool too_old = update != nullptr &&
+                             freshness_.replica_too_old(
+                                 std::max(revision_, update->revision), rank_,
+                                 started + settings_.min_read_period);
+        if (failed == tests_reachability && !too_old)
         {
             return replica_result;
         }
@@ -252,7 +269,7 @@
         if (update != nullptr)
         {
             const confirmation confirmed{update->revision, started};
-            freshness_.record(confirmed, started);
+            freshness_.record(confirmed);
             confirmations_->push_newest(confirmed);
             peer_socket_->wake();
         }
@@ -273,6 +290,7 @@
     }
     metrics_->store_confirmed.SetToCurrentTime();
     revision_ = std::max(revision_, update.revision);
+    freshness_.note_applied(revision_);
     full_read_needed_ = full_read_needed_ && !update.complete;
     results_->push(
         {std::make_shared<const steering::metadata_update>(std::move(update))});
--- a/catkinkeel/edge/reading_duty.hpp
+++ b/catkinkeel/edge/reading_duty.hpp
@@ -75,6 +75,8 @@
     void run();
     /// Performs one read and returns the time of the next one.
     instant read_and_process();
+    /// Time of the read that follows a successful one.
+    instant next_read(instant started);
     metadata_result read_once();
     /// Reads the full state from any replica, then the later changes with a
     /// consistent read.
