Count the age of a notice from its earliest arrival

Cause: the age in a notice was subtracted from the time at which it was read. Notices that had waited in the socket of the suspended daemon looked new, it passed them on, and its peers put off their own reads.

A notice now counts as arrived when the socket was last found empty. The thread waits at most 100 ms for a datagram, which limits how much older a notice appears than it is. A confirmation with a later time but a lower revision is ignored. A metric counts notices without a known arrival.

Measured: the new test "a notice that waited in the socket does not count as a new one" failed on the code before and passes.

--- a/catkinkeel/edge/edge_metrics.cpp
+++ b/catkinkeel/edge/edge_metrics.cpp
@@ -115,6 +115,9 @@
       notices_rejected(
           counter(*registry_, "notices_rejected_total",
                   "Datagrams from peers that are not a valid notice")),
+      notices_undated(counter(*registry_, "notices_undated_total",
+                              "Notices from peers whose time of arrival is "
+                              "unknown")),
       duty_failures(counter(*registry_, "duty_failures_total",
                             "Steps of a duty that ended with an unexpected "
                             "exception")),
--- a/catkinkeel/edge/edge_metrics.hpp
+++ b/catkinkeel/edge/edge_metrics.hpp
@@ -59,6 +59,9 @@
     prometheus::Counter& notices_sent;
     prometheus::Counter& notices_received;
     prometheus::Counter& notices_rejected;
+    /// Valid notices whose time of arrival is unknown, so that their
+    /// confirmation is not used.
+    prometheus::Counter& notices_undated;
     /// Steps of a duty that ended with an unexpected exception.
     prometheus::Counter& duty_failures;
     prometheus::Gauge& peers;
--- a/catkinkeel/edge/freshness.cpp
+++ b/catkinkeel/edge/freshness.cpp
@@ -29,14 +29,29 @@
                            settings.rank_step_fraction * steps);
 }
 
+bool supersedes(const confirmation& received,
+                const std::optional<confirmation>& known)
+{
+    return !known ||
+           (received.at > known->at && received.revision >= known->revision);
+}
+
 void freshness_tracker::record(const confirmation& received)
 {
-    if (!last_ || received.at > last_->at)
+    if (supersedes(received, last_))
     {
         last_ = received;
     }
 }
 
+void freshness_tracker::record_own(const confirmation& own)
+{
+    if (!last_ || own.at > last_->at)
+    {
+        last_ = own;
+    }
+}
+
 void freshness_tracker::note_applied(std::uint64_t revision)
 {
     if (last_ && !is_behind(revision))
--- a/catkinkeel/edge/freshness.hpp
+++ b/catkinkeel/edge/freshness.hpp
@@ -23,6 +23,12 @@
     friend auto operator<=>(const confirmation&, const confirmation&) = default;
 };
 
+/// Whether `received` from a peer replaces `known`. The store's revision never
+/// decreases, so a confirmation that claims a later time with a lower revision
+/// has a wrong time.
+[[nodiscard]] bool supersedes(const confirmation& received,
+                              const std::optional<confirmation>& known);
+
 /// Position of this daemon among the daemons in its peer table, ordered by a
 /// hash that is the same on all of them. 0 is the first.
 struct reader_rank
@@ -86,9 +92,13 @@
     {
     }
 
-    /// Stores `received` if it is newer than the last confirmation.
+    /// Stores a confirmation of a peer if it supersedes the last one.
     void record(const confirmation& received);
 
+    /// Stores a confirmation of this daemon's own read if it is later than the
+    /// last one. It replaces one of a peer with a wrong revision.
+    void record_own(const confirmation& own);
+
     /// The daemon has applied all changes up to `revision`.
     void note_applied(std::uint64_t revision);
 
--- a/catkinkeel/edge/peer_notice.cpp
+++ b/catkinkeel/edge/peer_notice.cpp
@@ -68,13 +68,13 @@
     return daemon;
 }
 
-std::optional<instant> parse_time(const json& value, instant now)
+std::optional<instant> parse_time(const json& value, instant arrival)
 {
     if (!is_number(value, max_age_ms))
     {
         return std::nullopt;
     }
-    return now - std::chrono::milliseconds(value.get<std::int64_t>());
+    return arrival - std::chrono::milliseconds(value.get<std::int64_t>());
 }
 
 } // namespace
@@ -110,7 +110,7 @@
 }
 
 outcome<peer_notice> decode_notice(std::span<const std::byte> bytes,
-                                   instant now)
+                                   instant arrival)
 {
     constexpr std::size_t field_count = 7;
     if (bytes.size() > max_notice_bytes)
@@ -141,7 +141,7 @@
             return malformed_notice();
         }
         // A confirmation older than `max_age_ms` is ignored.
-        if (const auto at = parse_time(document[5][1], now))
+        if (const auto at = parse_time(document[5][1], arrival))
         {
             notice.confirmed =
                 confirmation{document[5][0].get<std::uint64_t>(), *at};
@@ -153,7 +153,8 @@
         const auto daemon = row.is_array() && row.size() == row_size
                                 ? parse_peer(row, 0)
                                 : std::nullopt;
-        const auto seen_at = daemon ? parse_time(row[3], now) : std::nullopt;
+        const auto seen_at =
+            daemon ? parse_time(row[3], arrival) : std::nullopt;
         if (!seen_at)
         {
             return malformed_notice();
--- a/catkinkeel/edge/peer_notice.hpp
+++ b/catkinkeel/edge/peer_notice.hpp
@@ -43,8 +43,10 @@
 /// [revision, age in ms] or nil, [[address, port, data centre, age in ms]...]].
 std::vector<std::byte> encode_notice(const peer_notice& notice, instant now);
 
-/// Fails with `invalid_input` if the bytes are not a notice of this format.
+/// `arrival` is the time at which the notice arrived, which may be long before
+/// it is decoded. Fails with `invalid_input` if the bytes are not a notice of
+/// this format.
 outcome<peer_notice> decode_notice(std::span<const std::byte> bytes,
-                                   instant now);
+                                   instant arrival);
 
 } // namespace catkinkeel::edge
--- a/catkinkeel/edge/peers_duty.cpp
+++ b/catkinkeel/edge/peers_duty.cpp
@@ -24,6 +24,17 @@
 constexpr std::size_t default_notice_sightings = 4;
 /// A received confirmation that is newer by less is not passed on.
 constexpr duration min_confirmation_advance = 100ms;
+/// Longest wait for a datagram. A notice counts as this much older than it is,
+/// since it may have waited in the socket while the process was suspended.
+constexpr duration max_receive_wait = 100ms;
+
+/// Returns `notice` without its confirmation, whose age is unknown if the time
+/// of arrival is.
+peer_notice without_confirmation(peer_notice notice)
+{
+    notice.confirmed.reset();
+    return notice;
+}
 
 } // namespace
 
@@ -42,6 +53,7 @@
       random_(wall_nanoseconds()),
       table_({settings.peers.notice_endpoint, settings.data_centre},
              settings.peers.table),
+      arrivals_(max_receive_wait),
       thread_([this] { run(); })
 {
 }
@@ -62,13 +74,20 @@
     {
         send_due();
         const instant next = std::min(next_notice_, next_hello_);
-        const receive_status status =
-            socket_->receive(batch, std::max(next - now_, duration::zero()));
+        const instant started = now_ = boot_now();
+        const receive_status status = socket_->receive(
+            batch, std::clamp(next - now_, duration::zero(), max_receive_wait));
         if (status == receive_status::stopped)
         {
             return;
         }
         now_ = boot_now();
+        arrivals_.record(started, now_,
+                         batch.datagrams().size() < batch_capacity);
+        if (status == receive_status::timed_out && now_ < next)
+        {
+            continue;
+        }
         if (status == receive_status::received)
         {
             for (const received_datagram& datagram : batch.datagrams())
@@ -89,7 +108,8 @@
     {
         return;
     }
-    const auto notice = decode_notice(datagram.payload.bytes, now_);
+    const std::optional<instant>& arrival = arrivals_.earliest();
+    auto notice = decode_notice(datagram.payload.bytes, arrival.value_or(now_));
     // The sender in the notice must match the source address of the datagram,
     // so that a daemon cannot send notices in another's name.
     if (!notice || notice.value().sender.notice_endpoint != datagram.from)
@@ -98,6 +118,11 @@
         return;
     }
     metrics_->notices_received.Increment();
+    if (!arrival)
+    {
+        metrics_->notices_undated.Increment();
+        notice = without_confirmation(std::move(notice).value());
+    }
     process(notice.value());
 }
 
@@ -109,7 +134,7 @@
         table_.record(each);
     }
     const bool newer =
-        notice.confirmed &&
+        notice.confirmed && supersedes(*notice.confirmed, confirmation_) &&
         (!confirmation_ ||
          notice.confirmed->at > confirmation_->at + min_confirmation_advance);
     if (newer)
@@ -179,7 +204,7 @@
                        .requests_peers = requests_peers,
                        .confirmed = confirmation_,
                        .sightings = table_.sample(sightings, random_)},
-                      now_);
+                      boot_now());
     std::vector<outgoing_datagram> datagrams;
     for (const endpoint& each : to)
     {
--- a/catkinkeel/edge/peers_duty.hpp
+++ b/catkinkeel/edge/peers_duty.hpp
@@ -4,6 +4,7 @@
 // store's newest state serves many of them.
 
 #include "catkinkeel/base/random.hpp"
+#include "catkinkeel/edge/arrival_bound.hpp"
 #include "catkinkeel/edge/edge_metrics.hpp"
 #include "catkinkeel/edge/edge_settings.hpp"
 #include "catkinkeel/edge/event_channel.hpp"
@@ -42,8 +43,9 @@
 class peers_duty
 {
 public:
-    /// `own_confirmations` carries the confirmations of this daemon's own
-    /// reads; the reading thread wakes this thread by `socket->wake()`.
+    /// `own_confirmations` carries the
+    /// confirmations of this daemon's own reads; the reading thread wakes this
+    /// thread by `socket->wake()`.
     peers_duty(const edge_settings& settings,
                std::shared_ptr<udp_socket> socket,
                std::shared_ptr<confirmation_ring> own_confirmations,
@@ -76,6 +78,7 @@
     std::optional<confirmation> confirmation_;
     reader_rank sent_rank_;
     instant now_;
+    arrival_bound arrivals_;
     instant next_notice_;
     instant next_hello_;
     std::thread thread_;
--- a/catkinkeel/edge/peers_test.cpp
+++ b/catkinkeel/edge/peers_test.cpp
@@ -1,9 +1,11 @@
 // Tests of which daemon reads the newest state of the store, and of the notices
 // between daemons.
 
+#include "catkinkeel/edge/arrival_bound.hpp"
 #include "catkinkeel/edge/freshness.hpp"
 #include "catkinkeel/edge/peer_notice.hpp"
 #include "catkinkeel/edge/peer_table.hpp"
+#include "catkinkeel/edge/peers_duty.hpp"
 #include "catkinkeel/edge/reading_duty.hpp"
 #include "catkinkeel/edge/test_daemon.hpp"
 
@@ -84,6 +86,92 @@
     CHECK(next <= instant(1s) + 2100ms);
 }
 
+TEST_CASE("a confirmation with a later time but a lower revision is ignored")
+{
+    // Guards against a peer that passes on an old confirmation as a new one.
+    freshness_tracker state({.effect_bound = 3s});
+    state.record({12, instant(2s)});
+    state.record({10, instant(4s)});
+    CHECK(state.last() == confirmation{12, instant(2s)});
+    // What the daemon has read itself holds.
+    state.record_own({11, instant(5s)});
+    CHECK(state.last() == confirmation{11, instant(5s)});
+}
+
+TEST_CASE("a datagram may be as old as the last receive that left none behind")
+{
+    // Guards against a suspended process that takes what arrived meanwhile for
+    // new.
+    arrival_bound bound(100ms);
+    bound.record(instant(10s), instant(10050ms), true);
+    CHECK_FALSE(bound.earliest());
+    bound.record(instant(10050ms), instant(10060ms), true);
+    CHECK(bound.earliest() == instant(10050ms));
+    // Suspended during this receive.
+    bound.record(instant(10060ms), instant(14s), false);
+    CHECK(bound.earliest() == instant(10060ms));
+    // The last receive has left datagrams behind.
+    bound.record(instant(14s), instant(18s), true);
+    CHECK(bound.earliest() == instant(10060ms));
+    // Suspended after the socket was empty, for all that is known.
+    bound.record(instant(18s), instant(18010ms), true);
+    CHECK(bound.earliest() == instant(14100ms));
+    bound.record(instant(18010ms), instant(18020ms), true);
+    CHECK(bound.earliest() == instant(18010ms));
+}
+
+TEST_CASE("a notice that waited in the socket does not count as a new one")
+{
+    // Guards against a daemon that was suspended and then passes on
+    // confirmations that arrived meanwhile as new ones, which makes its peers
+    // put off their own reads.
+    const auto sender = udp_socket::open(testing::any_loopback_port).value();
+    const auto receiver = udp_socket::open(testing::any_loopback_port).value();
+    const auto send_confirmation = [&](std::uint64_t revision)
+    {
+        const instant now = boot_now();
+        const auto bytes =
+            encode_notice({.sender = {sender->local(), "a"},
+                           .confirmed = confirmation{revision, now}},
+                          now);
+        const outgoing_datagram datagram{.to = receiver->local(),
+                                         .packet = {bytes}};
+        REQUIRE(sender->send(std::span(&datagram, 1)) == 1);
+    };
+    constexpr std::uint64_t old_revision = 7;
+    constexpr std::uint64_t new_revision = 8;
+    send_confirmation(old_revision);
+    const instant old_sent_by = boot_now();
+    constexpr duration suspension = 300ms;
+    std::this_thread::sleep_for(suspension);
+    edge_settings settings;
+    settings.data_centre = "a";
+    settings.peers.notice_endpoint = receiver->local();
+    const auto updates = std::make_shared<peer_update_ring>(peer_ring_size);
+    const peers_duty duty(settings, receiver,
+                          std::make_shared<confirmation_ring>(peer_ring_size),
+                          updates, std::make_shared<event_channel>(),
+                          std::make_shared<edge_metrics>());
+    bool new_received = false;
+    CHECK(testing::eventually(
+        [&]
+        {
+            send_confirmation(new_revision);
+            while (const auto update = updates->try_pop())
+            {
+                const auto& confirmed = update->confirmed;
+                if (confirmed && confirmed->revision == old_revision)
+                {
+                    CHECK(confirmed->at <= old_sent_by);
+                }
+                new_received =
+                    new_received ||
+                    (confirmed && confirmed->revision == new_revision);
+            }
+            return new_received;
+        }));
+}
+
 TEST_CASE("the newest state is read when the last confirmation gets too old")
 {
     // Guards against a confirmation that waits for the end of the read period.
--- a/catkinkeel/edge/reading_duty.cpp
+++ b/catkinkeel/edge/reading_duty.cpp
@@ -269,7 +269,7 @@
         if (update != nullptr)
         {
             const confirmation confirmed{update->revision, started};
-            freshness_.record(confirmed);
+            freshness_.record_own(confirmed);
             confirmations_->push_newest(confirmed);
             peer_socket_->wake();
         }
