Date the sender of a notice by its arrival as well

The sender of a notice counted as seen at the time of reading, so a daemon that had been suspended reported peers as alive that had left meanwhile. Its sightings now carry the time of arrival, like the confirmation. This costs only datagrams to such peers; no caller was affected. The tests of peers in edge pass.

--- a/catkinkeel/edge/peers_duty.cpp
+++ b/catkinkeel/edge/peers_duty.cpp
@@ -74,7 +74,8 @@
     {
         send_due();
         const instant next = std::min(next_notice_, next_hello_);
-        const instant started = now_ = boot_now();
+        now_ = boot_now();
+        const instant started = now_;
         const receive_status status = socket_->receive(
             batch, std::clamp(next - now_, duration::zero(), max_receive_wait));
         if (status == receive_status::stopped)
@@ -108,8 +109,9 @@
     {
         return;
     }
-    const std::optional<instant>& arrival = arrivals_.earliest();
-    auto notice = decode_notice(datagram.payload.bytes, arrival.value_or(now_));
+    const std::optional<instant>& earliest_arrival = arrivals_.earliest();
+    const instant arrival = earliest_arrival.value_or(now_);
+    auto notice = decode_notice(datagram.payload.bytes, arrival);
     // The sender in the notice must match the source address of the datagram,
     // so that a daemon cannot send notices in another's name.
     if (!notice || notice.value().sender.notice_endpoint != datagram.from)
@@ -118,17 +120,17 @@
         return;
     }
     metrics_->notices_received.Increment();
-    if (!arrival)
+    if (!earliest_arrival)
     {
         metrics_->notices_undated.Increment();
         notice = without_confirmation(std::move(notice).value());
     }
-    process(notice.value());
+    process(notice.value(), arrival);
 }
 
-void peers_duty::process(const peer_notice& notice)
+void peers_duty::process(const peer_notice& notice, instant arrival)
 {
-    table_.record({notice.sender, now_});
+    table_.record({notice.sender, arrival});
     for (const peer_sighting& each : notice.sightings)
     {
         table_.record(each);
--- a/catkinkeel/edge/peers_duty.hpp
+++ b/catkinkeel/edge/peers_duty.hpp
@@ -59,7 +59,7 @@
 private:
     void run();
     void handle(const received_datagram& datagram);
-    void process(const peer_notice& notice);
+    void process(const peer_notice& notice, instant arrival);
     void send_own_confirmations();
     void send_due();
     void send(const std::vector<peer>& to, std::size_t sightings);
