State the wait for notices exactly in its comment

The comment of max_receive_wait said that a notice counts as 100 ms older than it is; it counts as up to that much older. No code changes; the tests of edge pass.

--- a/catkinkeel/edge/peers_duty.cpp
+++ b/catkinkeel/edge/peers_duty.cpp
@@ -24,8 +24,8 @@
 constexpr std::size_t default_notice_sightings = 4;
 /// A received confirmation that is newer by less is not passed on.
 constexpr duration min_confirmation_advance = 100ms;
-/// Longest wait for a datagram. A notice counts as this much older than it is,
-/// since it may have waited in the socket while the process was suspended.
+/// Longest wait for a datagram. A notice counts as up to this much older than
+/// it is, since it may have waited in the socket of a suspended process.
 constexpr duration max_receive_wait = 100ms;
 
 /// Returns `notice` without its confirmation, whose age is unknown if the time
--- a/catkinkeel/edge/peers_duty.hpp
+++ b/catkinkeel/edge/peers_duty.hpp
@@ -43,9 +43,8 @@
 class peers_duty
 {
 public:
-    /// `own_confirmations` carries the
-    /// confirmations of this daemon's own reads; the reading thread wakes this
-    /// thread by `socket->wake()`.
+    /// `own_confirmations` carries the confirmations of this daemon's own
+    /// reads; the reading thread wakes this thread by `socket->wake()`.
     peers_duty(const edge_settings& settings,
                std::shared_ptr<udp_socket> socket,
                std::shared_ptr<confirmation_ring> own_confirmations,
