Read request terms and keep evidence about targets

Cause: a daemon knew neither whether a request may be repeated nor how urgent it is, and nothing kept what other daemons observe of a target.

Nothing uses them yet, so decisions stay as they are.

Tests of steering, edge and platform pass.

--- a/catkinkeel/edge/edge_settings.hpp
+++ b/catkinkeel/edge/edge_settings.hpp
@@ -101,6 +101,8 @@
     steering::catalog_settings catalog;
     steering::steerer_settings steering;
     steering::selection_weights weights;
+    /// Exchange reports about targets with other daemons.
+    bool shares_evidence = false;
 
     severity log_level = severity::info;
     log_format log_encoding = log_format::key_value;
--- a/catkinkeel/edge/snapshot_json.cpp
+++ b/catkinkeel/edge/snapshot_json.cpp
@@ -36,6 +36,13 @@
             {"started_ms", target.started_ms}};
 }
 
+json to_json(const request_terms& terms)
+{
+    return json::array({terms.idempotent, terms.priority,
+                        in_milliseconds(terms.latency_goal),
+                        in_milliseconds(terms.timeout)});
+}
+
 json to_json(const published_configuration& configuration)
 {
     json references = json::array();
@@ -48,7 +55,8 @@
         }
         references.push_back({{"name", reference.name},
                               {"address", to_string(reference.address)},
-                              {"services", std::move(services)}});
+                              {"services", std::move(services)},
+                              {"requests", to_json(reference.terms)}});
     }
     json services = json::array();
     for (const service_configuration& service : configuration.services)
@@ -102,6 +110,20 @@
             .started_ms = parse_integer<std::int64_t>(object.at("started_ms"))};
 }
 
+/// Reads [idempotent, priority, latency goal in ms, timeout in ms].
+request_terms parse_request_terms(const json& array)
+{
+    const auto milliseconds = [&](std::size_t position)
+    {
+        return std::chrono::milliseconds(
+            parse_integer<std::uint32_t>(array.at(position)));
+    };
+    return {.idempotent = array.at(0).get<bool>(),
+            .priority = parse_integer<std::uint32_t>(array.at(1)),
+            .latency_goal = milliseconds(2),
+            .timeout = milliseconds(3)};
+}
+
 published_configuration parse_configuration(const json& object)
 {
     published_configuration configuration{
@@ -117,6 +139,11 @@
                 {service.at(0).get<std::string>(),
                  parse_integer<std::uint32_t>(service.at(1))});
         }
+        // Daemons of earlier releases do not send them.
+        if (const auto terms = row.find("requests"); terms != row.end())
+        {
+            reference.terms = parse_request_terms(*terms);
+        }
         configuration.references.push_back(std::move(reference));
     }
     for (const json& row : object.at("services"))
--- a/catkinkeel/edge/test_daemon.hpp
+++ b/catkinkeel/edge/test_daemon.hpp
@@ -149,7 +149,8 @@
 inline steering::metadata_update make_site_update(const endpoint& target)
 {
     steering::published_configuration configuration{.version = {3}};
-    configuration.references.push_back({"r", {{2}, 443}, {{"orderdesk", 1}}});
+    configuration.references.push_back(
+        {"r", {{2}, 443}, {{"orderdesk", 1}}, {true, 2, 150ms, 2s}});
     return {.complete = true,
             .revision = 10,
             .changes = {steering::configuration_published{configuration},
--- a/catkinkeel/steering/catalog.cpp
+++ b/catkinkeel/steering/catalog.cpp
@@ -502,6 +502,7 @@
             continue;
         }
         position->name = configuration.name;
+        position->terms = configuration.terms;
         position->weighted_services.clear();
         for (const weighted_service& service : configuration.services)
         {
--- a/catkinkeel/steering/objects.hpp
+++ b/catkinkeel/steering/objects.hpp
@@ -63,12 +63,33 @@
                             const weighted_service&) = default;
 };
 
+/// Priority of references for which operators configure none, and the lowest
+/// one that is told apart from others; 0 is the highest.
+inline constexpr std::uint32_t lowest_priority = 15;
+
+/// What operators state about the requests that a reference carries.
+struct request_terms
+{
+    /// Whether a request may be repeated after it may have run.
+    bool idempotent = false;
+    std::uint32_t priority = lowest_priority;
+    /// Time within which an answer has its full value to the caller; zero if it
+    /// is not known.
+    duration latency_goal{};
+    /// Time after which an answer has no value; zero if it is not known.
+    duration timeout{};
+
+    friend auto operator<=>(const request_terms&,
+                            const request_terms&) = default;
+};
+
 /// A public address that is bound to one service, or to several by weight.
 struct reference_configuration
 {
     std::string name;
     endpoint address;
     std::vector<weighted_service> services;
+    request_terms terms;
 
     friend auto operator<=>(const reference_configuration&,
                             const reference_configuration&) = default;
--- a/catkinkeel/steering/snapshot.cpp
+++ b/catkinkeel/steering/snapshot.cpp
@@ -18,7 +18,8 @@
             continue;
         }
         reference_configuration row{.name = reference.name,
-                                    .address = reference.address};
+                                    .address = reference.address,
+                                    .terms = reference.terms};
         for (const weighted_service_id& choice : reference.weighted_services)
         {
             row.services.push_back(
--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -18,6 +18,7 @@
 #include "catkinkeel/steering/admission.hpp"
 #include "catkinkeel/steering/flow_tracker.hpp"
 #include "catkinkeel/steering/selection.hpp"
+#include "catkinkeel/steering/target_evidence.hpp"
 #include "catkinkeel/steering/target_observer.hpp"
 #include "catkinkeel/steering/token.hpp"
 #include "catkinkeel/steering/view.hpp"
@@ -174,6 +175,10 @@
     observer_settings observer;
     admission_limits admission;
     tracker_settings tracker;
+    /// Give fewer new flows to targets whose answers look like errors.
+    bool judges_answers = false;
+    /// Reset flows of dead targets whose requests callers may repeat.
+    bool releases_flows = false;
 
     friend auto operator<=>(const steerer_settings&,
                             const steerer_settings&) = default;
@@ -219,6 +224,11 @@
     {
         return observer_;
     }
+    /// What this daemon and its peers have observed about targets.
+    [[nodiscard]] evidence_pool& evidence()
+    {
+        return evidence_;
+    }
     [[nodiscard]] std::size_t tracked_flows() const
     {
         return flows_.size();
@@ -263,6 +273,7 @@
     std::vector<target_load> loads_;
     std::optional<data_centre_id> own_data_centre_;
     target_observer observer_;
+    evidence_pool evidence_;
     flow_tracker flows_;
     std::vector<pending_opening> unsent_openings_;
 };
--- a/catkinkeel/steering/steering_samples.hpp
+++ b/catkinkeel/steering/steering_samples.hpp
@@ -46,7 +46,8 @@
     {
         configuration.references.push_back({.name = "r" + std::to_string(port),
                                             .address = address(1, port),
-                                            .services = {{service, 1}}});
+                                            .services = {{service, 1}},
+                                            .terms = {.priority = 1}});
     }
     return configuration;
 }
--- a/catkinkeel/steering/view.hpp
+++ b/catkinkeel/steering/view.hpp
@@ -7,6 +7,7 @@
 #include "catkinkeel/base/address.hpp"
 #include "catkinkeel/base/identifier.hpp"
 #include "catkinkeel/base/time.hpp"
+#include "catkinkeel/steering/objects.hpp"
 #include "catkinkeel/steering/token.hpp"
 
 #include <compare>
@@ -77,6 +78,8 @@
     /// of `weighted_services`, and those of former versions while their flows
     /// may be open.
     std::vector<service_id> permitted_services;
+    /// The defaults for a removed reference.
+    request_terms terms;
 
     friend auto operator<=>(const view_reference&,
                             const view_reference&) = default;
