Add catkinkeel-check for configurations before they are published

Cause: daemons reject a configuration with one invalid route as a whole and ignore one whose version is not higher. Contradictory limits, routes that never match and misspelled services show only when callers are affected.

Change: catkinkeel-check FILE [--in-force FILE] reports errors, warnings and differences (docs/design/configuration_check.md).

--- a/catkinkeel/cli/commands.cpp
+++ b/catkinkeel/cli/commands.cpp
@@ -89,6 +89,62 @@
                   "or can't be decoded"},
 };
 
+/// Section on the other program for operators. The test of configuration_check
+/// compares the output in it with that of the sample.
+constexpr std::string_view check_program_section = R"(
+## catkinkeel-check
+
+`catkinkeel-check FILE [--in-force FILE]` checks a configuration of the edge daemons
+(`op/config`, JSON) before it is published. It works without a daemon and a network.
+`--in-force` (`-i`) names the configuration in force and adds what would change.
+[configuration_check.md](design/configuration_check.md) lists the checks.
+
+Each finding is one line: an error, a warning or a difference. The last line has their
+numbers. Its exit codes are:
+
+| code | meaning |
+| --- | --- |
+| 0 | no errors and no warnings; there may be differences |
+| 1 | errors or warnings |
+| 2 | a file can't be read or is longer than 1 MiB, or the arguments are invalid |
+
+The output for the samples, with exit code 1:
+
+```
+$ cd samples/configuration
+$ catkinkeel-check with_findings.json --in-force in_force.json
+error: route booking: never matches: route upload further down has the same address 198.18.0.2:8443
+error: route upload: service orderdesc is not defined
+warning: route booking: service orderdesk-new has weight 0 and gets no new flows
+warning: service platefiles: no route uses it
+warning: route status: aim_ms 4000 is above timeout_ms 2500
+warning: route booking: kind "post" is none of safe, download, unsafe, upload; requests count as not idempotent
+warning: route booking: has a priority but no aim_ms
+warning: route upload: timeout_ms 90000 is above limits.idle_timeout_ms 60000, so a flow may count as idle while its caller waits
+warning: service orderdesk: warmup_per_s limits targets that warm up, but warmup_s is 0, absent or unusable
+error: version 7 is not higher than 7, the version in force; daemons ignore the document
+difference: route manifest: is removed
+difference: route booking: the list of services changes from orderdesk weight 1 to orderdesk weight 90, orderdesk-new weight 0
+difference: route booking: kind changes from unsafe to post
+difference: route booking: aim_ms changes from 500 to not known
+difference: route status: aim_ms changes from 400 to 4000
+difference: route upload: is added at 198.18.0.2:8443 with orderdesc weight 1
+difference: route booking: route upload takes over its address 198.18.0.2:8443
+difference: route manifest: new flows to 198.18.0.3:80 are refused, and its open flows end at the latest after the longest life of a flow
+difference: service orderdesk: warmup_s changes from 4 to not known
+difference: service orderdesk-new: is added
+difference: service platefiles: loses its last route and gets no new flows
+3 errors, 7 warnings, 11 differences
+```
+
+A configuration without findings gives exit code 0:
+
+```
+$ catkinkeel-check in_force.json
+0 errors, 0 warnings, 0 differences
+```
+)";
+
 } // namespace
 
 std::span<const command_definition> command_definitions()
@@ -189,6 +245,7 @@
         "| `/v1/explain?caller=A:P&public=A:P&protocol=tcp` | how the daemon "
         "would handle a packet |\n"
         "| `/metrics` | metrics in the Prometheus text format |\n";
+    page += check_program_section;
     return page;
 }
 
