Keep evidence correct when the pool is full or reports are late

Cause: a review of evidence_pool, with a test of its own, found that - dropping a target from a full pool lost its withdrawal, so peers went on counting withdrawn reports until they expired; - a report that arrived after an own observation to the contrary counted if the target had no entry then, and reports that had been overruled counted again after the next own observation of a fault; - a withdrawal was ignored if the receiver's bound on its time of arrival, up to 100 ms too early, made it look older than the report; - one peer could displace all other evidence by reporting very many targets, and the sum of counts did not limit the part of one peer; - a report with a time in the future counted for too long, a report older than 16 others displaced one of them, and expired evidence was never freed.

Change: outgoing reports are kept apart from the entries; the last own observation to the contrary is kept for 1,024 targets (32 KB); a report may be 100 ms older than the last one of its peer; a full pool drops expired evidence first and a peer's own word before that of others; each peer adds at most 2 to peer_count. The interface is unchanged.

--- a/catkinkeel/steering/target_evidence.cpp
+++ b/catkinkeel/steering/target_evidence.cpp
@@ -1,5 +1,7 @@
 #include "catkinkeel/steering/target_evidence.hpp"
 
+#include "catkinkeel/base/hash.hpp"
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -15,6 +17,11 @@
     return now - observed_at <= max_evidence_age;
 }
 
+/// Number of targets of which the last observation to the contrary is kept:
+/// 32 KB. A daemon of the design size sees some 300 answers within
+/// `max_evidence_age`.
+constexpr std::size_t contrary_slots = 1024;
+
 } // namespace
 
 std::string_view to_string(evidence_kind kind)
@@ -29,72 +36,194 @@
     return {target.identity, target.started_ms};
 }
 
-evidence_pool::evidence& evidence_pool::entry(const evidence_key& key,
-                                              instant now)
+bool evidence_pool::counts(const observation& of_peer,
+                           const std::optional<instant>& cleared_at,
+                           instant now)
+{
+    const bool overruled = cleared_at && *cleared_at >= of_peer.observed_at;
+    return of_peer.count > 0 && is_recent(of_peer.observed_at, now) &&
+           !overruled;
+}
+
+evidence_pool::evidence&
+evidence_pool::entry(const evidence_key& key,
+                     const std::optional<endpoint>& reporter, instant now)
 {
     const auto found = entries_.find(key);
-    if (found == entries_.end() && entries_.size() >= max_evidence_targets)
+    if (found != entries_.end())
     {
-        const auto oldest = std::ranges::min_element(
-            entries_, {},
-            [](const auto& each) { return each.second.changed_at; });
-        outgoing_.erase(oldest->first);
-        entries_.erase(oldest);
+        return found->second;
+    }
+    expire(now);
+    if (entries_.size() >= max_evidence_targets)
+    {
+        drop_least_useful(reporter, now);
     }
     evidence& result = entries_[key];
-    result.changed_at = now;
+    if (!contrary_.empty() && contrary_slot(key).key == key)
+    {
+        result.cleared_at = contrary_slot(key).at;
+    }
     return result;
 }
 
+void evidence_pool::expire(instant now)
+{
+    // The first call has no earlier one; `instant::min()` cannot be subtracted.
+    if (expired_at_ != instant::min() && now - expired_at_ < max_evidence_age)
+    {
+        return;
+    }
+    expired_at_ = now;
+    for (auto& [key, known] : entries_)
+    {
+        std::erase_if(known.peers, [&](const auto& each)
+                      { return !is_recent(each.second.observed_at, now); });
+    }
+    std::erase_if(entries_,
+                  [&](const auto& each)
+                  {
+                      const evidence& known = each.second;
+                      return known.peers.empty() &&
+                             !(known.own.count > 0 &&
+                               is_recent(known.own.observed_at, now));
+                  });
+}
+
+void evidence_pool::drop_least_useful(const std::optional<endpoint>& reporter,
+                                      instant now)
+{
+    enum class use : std::uint8_t
+    {
+        expired,
+        report_of_reporter,
+        report_of_one_peer,
+        several_observations
+    };
+    const auto use_of = [&](const evidence& known)
+    {
+        if (known.own.count > 0 && is_recent(known.own.observed_at, now))
+        {
+            return use::several_observations;
+        }
+        std::size_t reporters = 0;
+        bool by_reporter = false;
+        for (const auto& [peer, each] : known.peers)
+        {
+            if (counts(each, known.cleared_at, now))
+            {
+                ++reporters;
+                by_reporter = by_reporter || peer == reporter;
+            }
+        }
+        if (reporters > 1)
+        {
+            return use::several_observations;
+        }
+        if (by_reporter)
+        {
+            return use::report_of_reporter;
+        }
+        return reporters == 0 ? use::expired : use::report_of_one_peer;
+    };
+    entries_.erase(std::ranges::min_element(
+        entries_, {},
+        [&](const auto& each)
+        { return std::pair(use_of(each.second), each.second.changed_at); }));
+}
+
+evidence_pool::contrary_observation&
+evidence_pool::contrary_slot(const evidence_key& key)
+{
+    const std::uint64_t run = hash_pair(
+        key.target.identity, static_cast<std::uint64_t>(key.target.started_ms));
+    const std::uint64_t hash =
+        hash_pair(run, static_cast<std::uint64_t>(key.kind));
+    return contrary_[hash % contrary_.size()];
+}
+
+void evidence_pool::add_outgoing(const evidence_key& key,
+                                 const observation& own)
+{
+    if (outgoing_.size() >= max_evidence_targets && !outgoing_.contains(key))
+    {
+        outgoing_.erase(std::ranges::min_element(
+            outgoing_, {},
+            [](const auto& each) {
+                return std::pair(each.second.count == 0,
+                                 each.second.observed_at);
+            }));
+    }
+    outgoing_[key] = own;
+}
+
 void evidence_pool::record_own(const view_target& target, evidence_kind kind,
                                std::uint32_t count, instant now)
 {
     const evidence_key key{run_of(target), kind};
-    evidence& known = entry(key, now);
+    evidence& known = entry(key, std::nullopt, now);
     known.own = {count, now};
-    known.cleared_at.reset();
-    outgoing_.insert(key);
+    known.changed_at = now;
+    add_outgoing(key, known.own);
 }
 
 void evidence_pool::clear_own(const view_target& target, evidence_kind kind,
                               instant now)
 {
     const evidence_key key{run_of(target), kind};
+    if (contrary_.empty())
+    {
+        contrary_.resize(contrary_slots);
+    }
+    contrary_slot(key) = {key, now};
     const auto found = entries_.find(key);
     if (found == entries_.end())
     {
         return;
     }
-    if (found->second.own.count > 0)
+    evidence& known = found->second;
+    if (known.own.count > 0 && is_recent(known.own.observed_at, now))
     {
-        outgoing_.insert(key);
+        add_outgoing(key, {0, now});
     }
-    found->second.own = {0, now};
-    found->second.cleared_at = now;
-    found->second.changed_at = now;
+    known.own = {0, now};
+    known.cleared_at = now;
+    known.changed_at = now;
 }
 
 void evidence_pool::record_peer(const peer_report& received, instant now)
 {
     const target_report& report = received.report;
-    if (!is_recent(report.observed_at, now))
+    const evidence_key key{report.target, report.kind};
+    const bool withdraws_nothing = report.count == 0 && !entries_.contains(key);
+    if (!is_recent(report.observed_at, now) || withdraws_nothing)
     {
         return;
     }
-    std::map<endpoint, observation>& peers =
-        entry({report.target, report.kind}, now).peers;
-    const auto known = peers.find(received.reporter);
-    if (known != peers.end() && known->second.observed_at > report.observed_at)
+    evidence& known = entry(key, received.reporter, now);
+    // The report may have been received after `now` was read.
+    const observation observed{report.count, std::min(report.observed_at, now)};
+    const auto former = known.peers.find(received.reporter);
+    if (former != known.peers.end() &&
+        former->second.observed_at - observed.observed_at >
+            max_report_time_error)
     {
         return;
     }
-    if (known == peers.end() && peers.size() >= max_target_reporters)
+    if (former == known.peers.end() &&
+        known.peers.size() >= max_target_reporters)
     {
-        peers.erase(std::ranges::min_element(
-            peers, {},
-            [](const auto& each) { return each.second.observed_at; }));
+        const auto oldest = std::ranges::min_element(
+            known.peers, {},
+            [](const auto& each) { return each.second.observed_at; });
+        if (oldest->second.observed_at > observed.observed_at)
+        {
+            return;
+        }
+        known.peers.erase(oldest);
     }
-    peers[received.reporter] = {report.count, report.observed_at};
+    known.peers[received.reporter] = observed;
+    known.changed_at = now;
 }
 
 evidence_summary evidence_pool::evidence_of(const view_target& target,
@@ -114,11 +243,9 @@
     }
     for (const auto& [reporter, each] : known.peers)
     {
-        const bool overruled =
-            known.cleared_at && *known.cleared_at >= each.observed_at;
-        if (each.count > 0 && is_recent(each.observed_at, now) && !overruled)
+        if (counts(each, known.cleared_at, now))
         {
-            summary.peer_count += each.count;
+            summary.peer_count += std::min(each.count, max_count_of_peer);
             ++summary.reporters;
         }
     }
@@ -128,9 +255,8 @@
 std::vector<target_report> evidence_pool::take_outgoing()
 {
     std::vector<target_report> reports;
-    for (const evidence_key& key : std::exchange(outgoing_, {}))
+    for (const auto& [key, own] : std::exchange(outgoing_, {}))
     {
-        const observation& own = entries_.at(key).own;
         reports.push_back({key.target, key.kind, own.count, own.observed_at});
     }
     return reports;
--- a/catkinkeel/steering/target_evidence.hpp
+++ b/catkinkeel/steering/target_evidence.hpp
@@ -22,7 +22,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string_view>
 #include <vector>
 
@@ -80,7 +79,7 @@
 struct evidence_summary
 {
     std::uint32_t own_count = 0;
-    /// Sum of the counts of peers.
+    /// Sum of the counts of peers, each limited to `max_count_of_peer`.
     std::uint32_t peer_count = 0;
     /// Number of peers with a count above 0.
     std::uint32_t reporters = 0;
@@ -93,11 +92,24 @@
 /// is observed again within it by some daemon.
 inline constexpr duration max_evidence_age = 2s;
 
-/// Limits of the pool. Beyond them, the oldest evidence is dropped.
+/// Limits of the pool. A target counts once for each kind of evidence.
 inline constexpr std::size_t max_evidence_targets = 1024;
 inline constexpr std::size_t max_target_reporters = 16;
 
+/// The time of a peer's report may be too early by this much, since it is
+/// derived from the earliest time at which its datagram may have arrived.
+inline constexpr duration max_report_time_error = 100ms;
+
+/// Largest part of one peer in `evidence_summary::peer_count`, so that no
+/// single peer decides by a large count.
+inline constexpr std::uint32_t max_count_of_peer = 2;
+
 /// Not thread-safe.
+///
+/// If the pool is full, it drops first what has expired, then the reports of
+/// the peer that needs the room, then other reports of a single peer, and last
+/// own observations and reports of several peers; the oldest first in each
+/// case. So a peer that reports very many targets displaces only its own word.
 class evidence_pool
 {
 public:
@@ -107,12 +119,14 @@
                     std::uint32_t count, instant now);
 
     /// Records an own observation to the contrary. Own evidence is dropped, as
-    /// is that of peers observed before `now`; peers that were told of own
-    /// evidence get a withdrawal.
+    /// is that of peers observed before `now`, also if it arrives later; peers
+    /// that were told of own evidence get a withdrawal. Allocates no memory
+    /// after the first call unless there is evidence to withdraw.
     void clear_own(const view_target& target, evidence_kind kind, instant now);
 
     /// Records the report of a peer. Reports that are older than the last one
-    /// of the same peer, or too old, are ignored.
+    /// of the same peer by more than `max_report_time_error`, or too old, are
+    /// ignored.
     void record_peer(const peer_report& received, instant now);
 
     [[nodiscard]] evidence_summary evidence_of(const view_target& target,
@@ -120,7 +134,9 @@
                                                instant now) const;
 
     /// Returns the reports about own evidence that changed since the last call,
-    /// for other daemons.
+    /// for other daemons. Withdrawals are returned even if the pool has dropped
+    /// their target meanwhile. If more than `max_evidence_targets` changed, the
+    /// oldest reports that are no withdrawals are missing.
     std::vector<target_report> take_outgoing();
 
 private:
@@ -146,11 +162,36 @@
         instant changed_at;
     };
 
-    /// Returns the entry, after dropping the oldest one if the pool is full.
-    evidence& entry(const evidence_key& key, instant now);
+    struct contrary_observation
+    {
+        evidence_key key;
+        instant at = instant::min();
+    };
+
+    /// Whether a report of a peer counts: not withdrawn, expired or overruled.
+    static bool counts(const observation& of_peer,
+                       const std::optional<instant>& cleared_at, instant now);
+    /// Returns the entry; a new one may displace others. `reporter` is the peer
+    /// whose report needs it, empty for an own observation.
+    evidence& entry(const evidence_key& key,
+                    const std::optional<endpoint>& reporter, instant now);
+    /// Removes entries and reports of peers that have expired. Does nothing if
+    /// that was done within `max_evidence_age`.
+    void expire(instant now);
+    void drop_least_useful(const std::optional<endpoint>& reporter,
+                           instant now);
+    void add_outgoing(const evidence_key& key, const observation& own);
+    /// The place of `key` in `contrary_`.
+    contrary_observation& contrary_slot(const evidence_key& key);
 
     std::map<evidence_key, evidence> entries_;
-    std::set<evidence_key> outgoing_;
+    std::map<evidence_key, observation> outgoing_;
+    /// Last own observations to the contrary by a hash of their key, for
+    /// reports that arrive after them about targets without an entry. Where two
+    /// keys share a place, the later observation has it. Empty until the first
+    /// `clear_own`.
+    std::vector<contrary_observation> contrary_;
+    instant expired_at_ = instant::min();
 };
 
 } // namespace catkinkeel::steering
