Reset idempotent flows whose target does not acknowledge data

Callers with open flows to a dead target waited for their timeout of 3 s. Only with steerer_settings::releases_flows.

--- a/catkinkeel/steering/request_progress.cpp
+++ b/catkinkeel/steering/request_progress.cpp
@@ -13,6 +13,20 @@
     return static_cast<std::int32_t>(a - b) > 0;
 }
 
+/// Counts a packet that repeats the last data of a request without an answer.
+void record_repeat(request_step& step, const request_progress& before,
+                   instant now)
+{
+    step.next.last_copy_at = now;
+    if (before.copies > 0 && now - before.last_copy_at < min_copy_interval)
+    {
+        return;
+    }
+    step.next.copies = before.copies + 1;
+    step.is_copy = true;
+    step.unanswered_copies = before.copies;
+}
+
 } // namespace
 
 request_progress begin_flow(const flow_segment& first, instant now)
@@ -20,7 +34,9 @@
     return {.in_progress = true,
             .sent_at = now,
             .next_sequence = first.sequence + first.data_bytes,
-            .acknowledged = first.acknowledged};
+            .acknowledged = first.acknowledged,
+            .copies = first.data_bytes > 0 ? 1U : 0U,
+            .last_copy_at = now};
 }
 
 request_step advance(const request_progress& progress,
@@ -29,6 +45,8 @@
     request_step step{.next = progress};
     if (is_after(segment.acknowledged, progress.acknowledged))
     {
+        step.acknowledges = true;
+        step.next.copies = 0;
         step.next.acknowledged = segment.acknowledged;
         if (progress.in_progress)
         {
@@ -42,8 +60,24 @@
         step.next.next_sequence = end;
         step.next.in_progress = true;
         step.next.sent_at = now;
+        step.next.copies = 1;
+        step.next.last_copy_at = now;
+        step.is_copy = true;
+    }
+    else if (segment.data_bytes > 0 && end == progress.next_sequence &&
+             step.next.in_progress &&
+             segment.acknowledged == progress.acknowledged)
+    {
+        record_repeat(step, progress, now);
     }
     return step;
 }
 
+request_progress without_copies(const request_progress& progress)
+{
+    request_progress anew = progress;
+    anew.copies = 0;
+    return anew;
+}
+
 } // namespace catkinkeel::steering
--- a/catkinkeel/steering/request_progress.hpp
+++ b/catkinkeel/steering/request_progress.hpp
@@ -42,17 +42,37 @@
     /// Number of the byte after the last data sent.
     std::uint32_t next_sequence = 0;
     std::uint32_t acknowledged = 0;
+    /// Copies of the last data that were seen since it was new and since the
+    /// last acknowledgement, each at least `min_copy_interval` after the one
+    /// before; 0 if the last data was not seen.
+    std::uint32_t copies = 0;
+    /// When the last data was last seen.
+    instant last_copy_at;
 
     friend auto operator<=>(const request_progress&,
                             const request_progress&) = default;
 };
 
+/// Packets with the same data that are closer together count as one copy: both
+/// may have waited in a queue, or the network has duplicated one. Callers
+/// repeat data after 200 ms at the earliest; the rest allows for packets that
+/// do not take the same time.
+inline constexpr duration min_copy_interval = 190ms;
+
 struct request_step
 {
     request_progress next;
     /// Time from the last data of a request to the acknowledgement of the first
     /// bytes of its answer; empty if this packet acknowledges none.
     std::optional<duration> answered_after;
+    /// Whether this packet acknowledges new bytes of the target.
+    bool acknowledges = false;
+    /// Whether this packet is a copy of the last data that counts in
+    /// `request_progress::copies`, the first one included.
+    bool is_copy = false;
+    /// Copies before this one that got no acknowledgement; 0 unless this packet
+    /// repeats the last data.
+    std::uint32_t unanswered_copies = 0;
 
     friend auto operator<=>(const request_step&, const request_step&) = default;
 };
@@ -62,9 +82,12 @@
 [[nodiscard]] request_progress begin_flow(const flow_segment& first,
                                           instant now);
 
-/// Progress after another packet. Repeated and reordered packets change
-/// nothing.
+/// Progress after another packet. Repeated and reordered packets change nothing
+/// but the copies of the last data.
 [[nodiscard]] request_step advance(const request_progress& progress,
                                    const flow_segment& segment, instant now);
 
+/// Progress whose copies are counted anew.
+[[nodiscard]] request_progress without_copies(const request_progress& progress);
+
 } // namespace catkinkeel::steering
--- /dev/null
+++ b/catkinkeel/steering/silent_targets.cpp
@@ -0,0 +1,183 @@
+#include "catkinkeel/steering/silent_targets.hpp"
+
+#include <algorithm>
+#include <array>
+#include <ranges>
+
+namespace catkinkeel::steering
+{
+
+namespace
+{
+
+/// Copies that peers report, with at most two for each of them. The summary has
+/// only their sum: if it exceeds the number of reporters, at least one of them
+/// reports two. Two reporters that report two each are thus counted as three
+/// copies, which with one copy of this daemon is enough as well.
+std::uint32_t capped_copies(const evidence_summary& peers)
+{
+    return std::min(peers.peer_count, peers.reporters + 1);
+}
+
+bool is_withdrawn(const silence_findings& findings)
+{
+    return findings.withdrawn;
+}
+
+bool is_silent_to_flow(const silence_findings& findings)
+{
+    return findings.other == alternative::alive &&
+           findings.own.flow_copies >= fatal_copies;
+}
+
+bool is_silent_to_flows(const silence_findings& findings)
+{
+    return findings.other == alternative::alive && findings.own.several_flows;
+}
+
+bool is_silent_to_peers(const silence_findings& findings)
+{
+    return is_reported_silent(findings.peers) &&
+           capped_copies(findings.peers) + findings.own.target_copies >=
+               fatal_shared_copies;
+}
+
+struct rule_condition
+{
+    silence_rule rule;
+    bool (*holds)(const silence_findings&);
+};
+
+constexpr std::array rule_table{
+    rule_condition{silence_rule::withdrawn, &is_withdrawn},
+    rule_condition{silence_rule::same_flow, &is_silent_to_flow},
+    rule_condition{silence_rule::several_flows, &is_silent_to_flows},
+    rule_condition{silence_rule::peers, &is_silent_to_peers},
+};
+
+} // namespace
+
+std::string_view to_string(silence_rule rule)
+{
+    constexpr std::array<std::string_view, silence_rule_count> names{
+        "withdrawn", "same_flow", "several_flows", "peers"};
+    return names.at(static_cast<std::size_t>(rule));
+}
+
+std::optional<silence_rule> rule_of(const silence_findings& findings)
+{
+    if (findings.own.flow_copies == 0 || findings.other == alternative::none)
+    {
+        return std::nullopt;
+    }
+    const auto found =
+        std::ranges::find_if(rule_table, [&](const rule_condition& each)
+                             { return each.holds(findings); });
+    return found == rule_table.end() ? std::nullopt
+                                     : std::optional(found->rule);
+}
+
+bool is_reported_silent(const evidence_summary& peers)
+{
+    return peers.reporters >= min_silence_reporters;
+}
+
+void silent_targets::record_copy(target_id target, const flow_key& flow,
+                                 instant now)
+{
+    target_record& record = targets_[target];
+    if (record.copies.size() >= max_copies_of_target)
+    {
+        record.copies.erase(record.copies.begin());
+    }
+    record.copies.push_back({flow, now});
+    record.changed_at = now;
+}
+
+void silent_targets::record_unanswered(target_id target, const flow_key& flow)
+{
+    const auto found = targets_.find(target);
+    if (found == targets_.end())
+    {
+        return;
+    }
+    // A sign of life may have removed the copy.
+    auto newest_first = found->second.copies | std::views::reverse;
+    const auto last = std::ranges::find(newest_first, flow, &sent_copy::flow);
+    if (last != newest_first.end())
+    {
+        last->unanswered = true;
+    }
+}
+
+void silent_targets::record_unanswered_opening(target_id target, instant now)
+{
+    target_record& record = targets_[target];
+    if (now - record.changed_at > max_silence_age)
+    {
+        record.openings = 0;
+    }
+    ++record.openings;
+    record.changed_at = now;
+}
+
+void silent_targets::record_sign_of_life(target_id target, instant now)
+{
+    targets_[target] = {.alive_at = now, .changed_at = now};
+}
+
+own_silence silent_targets::evidence_of(target_id target, const flow_key& flow,
+                                        instant now) const
+{
+    own_silence evidence;
+    const auto found = targets_.find(target);
+    if (found == targets_.end())
+    {
+        return evidence;
+    }
+    // A copy without a verdict may have been answered. If it lies between the
+    // others, they were not lost one directly after the other.
+    std::uint32_t run = 0;
+    const flow_key* run_flow = nullptr;
+    bool run_of_one_flow = true;
+    for (const sent_copy& each : found->second.copies)
+    {
+        if (!each.unanswered || now - each.sent_at > max_silence_age)
+        {
+            run = 0;
+            continue;
+        }
+        run_of_one_flow =
+            run == 0 || (run_of_one_flow && each.flow == *run_flow);
+        run_flow = &each.flow;
+        ++run;
+        ++evidence.target_copies;
+        evidence.flow_copies += each.flow == flow ? 1 : 0;
+        evidence.several_flows |= run >= fatal_copies && !run_of_one_flow;
+    }
+    if (now - found->second.changed_at <= max_silence_age)
+    {
+        evidence.openings = found->second.openings;
+    }
+    return evidence;
+}
+
+bool silent_targets::is_alive_since(target_id target, instant since) const
+{
+    const auto found = targets_.find(target);
+    return found != targets_.end() && found->second.alive_at &&
+           *found->second.alive_at >= since;
+}
+
+void silent_targets::discard_old(instant now)
+{
+    if (now - discarded_at_ < max_silence_age)
+    {
+        return;
+    }
+    discarded_at_ = now;
+    std::erase_if(targets_, [&](const auto& each)
+                  { return now - each.second.changed_at > max_silence_age; });
+}
+
+} // namespace catkinkeel::steering
--- /dev/null
+++ b/catkinkeel/steering/silent_targets_test.cpp
@@ -0,0 +1,328 @@
+#include "catkinkeel/steering/silent_targets.hpp"
+#include "catkinkeel/steering/steerer.hpp"
+#include "catkinkeel/steering/steering_samples.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <functional>
+#include <map>
+
+using namespace catkinkeel;
+using namespace catkinkeel::steering;
+
+namespace
+{
+
+/// A daemon in front of the targets "dead" (the one under test) and "live".
+class silence_fixture
+{
+public:
+    explicit silence_fixture(bool idempotent = true, bool enabled = true)
+        : catalog_(catalog_settings{}),
+          steerer_({.data_centre = "a", .releases_flows = enabled},
+                   std::make_shared<least_cost_policy>(selection_weights{}),
+                   random_source(20261206))
+    {
+        auto configuration = sample_configuration(1, {{443, "feed"}});
+        configuration.references[0].terms.idempotent = idempotent;
+        apply({configuration_published{configuration},
+               target_announced{sample_target("dead", "feed", "a", 100)},
+               target_announced{sample_target("live", "feed", "a", 101)}});
+    }
+
+    void apply(std::vector<metadata_change> changes, instant now = at(0s))
+    {
+        catalog_.apply({false, ++revision_, std::move(changes)}, now);
+        steerer_.replace_view(
+            std::make_shared<const steering_view>(catalog_.make_view()));
+    }
+
+    steering_result send(std::uint16_t port, flow_segment segment, instant now,
+                         const char* target = "dead", bool finishes = false)
+    {
+        return steerer_.decide({.key = {{{0x64400007}, port}, address(1, 443)},
+                                .finishes = finishes,
+                                .token = token_of(target),
+                                .segment = segment},
+                               now);
+    }
+
+    /// A caller of "live" acknowledges new bytes.
+    void live_answers(instant now)
+    {
+        send(9, {1, ++acknowledged_, 0}, now, "live");
+        send(9, {1, ++acknowledged_, 1}, now, "live");
+        send(9, {1, ++acknowledged_, 0}, now, "live");
+    }
+
+    /// The rule by which the flow is reset when its caller sends its data.
+    std::optional<silence_rule> request(std::uint16_t port, instant now)
+    {
+        const auto result = send(port, {1, 50, 200}, now);
+        const bool refused =
+            result.decision ==
+            steering_decision(refuse{refusal_reason::target_silent});
+        CHECK(refused == result.silence.has_value());
+        return refused ? std::optional(result.silence->rule) : std::nullopt;
+    }
+
+    const view_target& dead() const
+    {
+        return *std::ranges::find(steerer_.view()->parts().targets, "dead",
+                                  &view_target::name);
+    }
+
+    steerer& steering()
+    {
+        return steerer_;
+    }
+
+private:
+    catalog catalog_;
+    steerer steerer_;
+    std::uint64_t revision_ = 0;
+    std::uint32_t acknowledged_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("one daemon alone resets a flow of a dead target at the repeat after "
+          "1.4 s")
+{
+    // Guards against callers with open flows that wait for their timeout of
+    // 3 s, and against load that stays counted after the reset.
+    silence_fixture site;
+    CHECK_FALSE(site.request(1, at(0s)));
+    CHECK_FALSE(site.request(1, at(200ms)));
+    site.live_answers(at(300ms));
+    CHECK_FALSE(site.request(1, at(600ms)));
+    CHECK(site.request(1, at(1400ms)) == silence_rule::same_flow);
+    CHECK(site.steering().tracked_flows() == 1);
+    CHECK(site.steering().observer().load_of(site.dead().id) == target_load{});
+    // The caller's next flow is placed at the other target at once.
+    const auto again = site.steering().decide(
+        {.key = {{{0x64400007}, 2}, address(1, 443)}, .opens = true},
+        at(1410ms));
+    CHECK(std::get<forward>(again.decision).token == token_of("live"));
+}
+
+TEST_CASE("flows of a dead target are reset at the first repeat once the "
+          "evidence suffices")
+{
+    // Guards against callers that learn of a known failure too late to be
+    // served elsewhere within 400 ms.
+    silence_fixture site;
+    SECTION("the target was withdrawn, which draining is not")
+    {
+        site.request(1, at(0s));
+        auto draining = sample_target("dead", "feed", "a", 100);
+        draining.state = announced_state::draining;
+        site.apply({target_announced{draining}});
+        CHECK_FALSE(site.request(1, at(200ms)));
+        site.apply({target_withdrawn{"dead"}}, at(500ms));
+        CHECK(site.request(1, at(600ms)) == silence_rule::withdrawn);
+    }
+    SECTION("copies of several flows, one directly after the other")
+    {
+        for (std::uint16_t port = 1; port <= 3; ++port)
+        {
+            site.request(port, at(port * 10ms));
+        }
+        site.live_answers(at(50ms));
+        CHECK_FALSE(site.request(1, at(210ms)));
+        CHECK_FALSE(site.request(2, at(220ms)));
+        CHECK(site.request(3, at(230ms)) == silence_rule::several_flows);
+        // A sign of life on any flow drops the evidence.
+        site.request(4, at(240ms));
+        site.send(1, {201, 51, 0}, at(250ms));
+        CHECK_FALSE(site.request(4, at(440ms)));
+    }
+    SECTION("two peers report silence")
+    {
+        site.request(1, at(0s));
+        const auto report = [&](std::uint32_t peer, std::uint32_t count)
+        {
+            site.steering().evidence().record_peer(
+                {address(peer, 7720),
+                 {run_of(site.dead()), evidence_kind::silence, count,
+                  at(100ms)}},
+                at(150ms));
+        };
+        report(50, 20);
+        CHECK_FALSE(site.request(1, at(200ms)));
+        report(51, 1);
+        CHECK(site.request(1, at(600ms)) == silence_rule::peers);
+        for (std::uint16_t port = 20; port < 25; ++port)
+        {
+            const auto opened = site.steering().decide(
+                {.key = {{{0x64400007}, port}, address(1, 443)}, .opens = true},
+                at(601ms));
+            CHECK(std::get<forward>(opened.decision).token == token_of("live"));
+        }
+    }
+    CHECK(site.steering().evidence().take_outgoing().size() == 1);
+}
+
+TEST_CASE("a flow is not reset where that is wrong or of no use")
+{
+    const auto resets = [](silence_fixture& site, bool finishes = false)
+    {
+        std::size_t count = 0;
+        for (const duration sent : {0ms, 200ms, 600ms, 1400ms, 3000ms})
+        {
+            count += site.send(1, {1, 50, 200}, at(sent), "dead", finishes)
+                         .silence.has_value();
+        }
+        return count;
+    };
+    silence_fixture site;
+    // A daemon whose own links are cut hears of no target.
+    CHECK(resets(site) == 0);
+    site.live_answers(at(3s));
+    CHECK(resets(site, true) == 0);
+    // The request may have run.
+    silence_fixture unsafe(false);
+    unsafe.live_answers(at(3s));
+    CHECK(resets(unsafe) == 0);
+    // Nothing is judged unless the settings say so.
+    silence_fixture disabled(true, false);
+    disabled.live_answers(at(3s));
+    CHECK(resets(disabled) == 0);
+    CHECK(disabled.steering().evidence().take_outgoing().empty());
+    // There is no other target.
+    silence_fixture alone;
+    alone.live_answers(at(3s));
+    alone.apply({target_withdrawn{"live"}, target_withdrawn{"dead"}});
+    CHECK(resets(alone) == 0);
+}
+
+TEST_CASE("copies that this daemon handled late or did not forward do not "
+          "count")
+{
+    // Guards against taking this daemon's own delay for the target's silence.
+    silence_fixture site;
+    site.apply({target_withdrawn{"dead"}});
+    site.live_answers(at(2s));
+    for (const duration handled : {1400ms, 1400ms, 1401ms, 1580ms})
+    {
+        CHECK_FALSE(site.request(1, at(handled)));
+    }
+    // A part of an upload that arrives out of order is no repeat.
+    site.send(2, {1, 50, 200}, at(0s));
+    site.send(2, {201, 50, 200}, at(10ms));
+    CHECK_FALSE(site.request(2, at(400ms)));
+    // The repeat of data that was seen before an acknowledgement is late.
+    site.send(3, {1, 50, 200}, at(0s));
+    site.send(3, {201, 60, 0}, at(20ms));
+    CHECK_FALSE(site.request(3, at(400ms)));
+}
+
+TEST_CASE("a living target's flow is not reset while at most two copies in a "
+          "row are lost")
+{
+    // Guards against the worst fault: the reset of a flow whose target lives.
+    // Answers take up to 3.5 s, but data is acknowledged within 150 ms unless
+    // its copy or the acknowledgement is lost. No three copies in a row, of a
+    // flow or to the target, are lost.
+    const auto property = [](const std::vector<std::uint8_t>& choices)
+    {
+        silence_fixture site;
+        std::multimap<duration, std::function<void(duration)>> events;
+        std::size_t used = 0;
+        const auto choose = [&](int below)
+        {
+            return choices[used++ % choices.size()] * 7919 % below;
+        };
+        struct caller
+        {
+            std::uint32_t number = 0;
+            bool acknowledged = false;
+            int lost_in_a_row = 0;
+        };
+        std::map<std::uint16_t, caller> callers;
+        int lost_in_a_row = 0;
+        std::function<void(std::uint16_t, duration)> begin;
+        const auto deliver =
+            [&](std::uint16_t port, std::uint32_t number, duration up)
+        {
+            return [&, port, number, up](duration now)
+            {
+                caller& from = callers[port];
+                site.live_answers(at(now));
+                RC_ASSERT(
+                    !site.send(port, {number * 200, number * 9, 200}, at(now))
+                         .silence);
+                if (choose(4) > 0 &&
+                    std::max(lost_in_a_row, from.lost_in_a_row) < 2)
+                {
+                    ++lost_in_a_row;
+                    ++from.lost_in_a_row;
+                    return;
+                }
+                lost_in_a_row = from.lost_in_a_row = 0;
+                const duration back = choose(150 - up / 1ms) * 1ms;
+                events.emplace(now + back,
+                               [&, port, number](duration later)
+                               {
+                                   caller& to = callers[port];
+                                   if (to.number != number || to.acknowledged)
+                                   {
+                                       return;
+                                   }
+                                   to.acknowledged = true;
+                                   begin(port,
+                                         later + 10ms + choose(3500) * 1ms);
+                               });
+            };
+        };
+        begin = [&](std::uint16_t port, duration when)
+        {
+            events.emplace(
+                when,
+                [&, port](duration now)
+                {
+                    caller& from = callers[port];
+                    if (from.number > 0 && choose(2) > 0)
+                    {
+                        site.send(
+                            port,
+                            {from.number * 200 + 200, from.number * 9 + 9, 0},
+                            at(now));
+                    }
+                    from = {.number = from.number + 1,
+                            .lost_in_a_row = from.lost_in_a_row};
+                    for (const duration after : {0ms, 200ms, 600ms, 1400ms})
+                    {
+                        events.emplace(
+                            now + after,
+                            [&, port, number = from.number](duration sent)
+                            {
+                                if (callers[port].number == number &&
+                                    !callers[port].acknowledged)
+                                {
+                                    const duration up = choose(150) * 1ms;
+                                    events.emplace(sent + up,
+                                                   deliver(port, number, up));
+                                }
+                            });
+                    }
+                });
+        };
+        for (const std::uint16_t port : {1, 2, 3})
+        {
+            begin(port, choose(200) * 1ms);
+        }
+        while (!events.empty() && events.begin()->first < 12s)
+        {
+            auto event = events.extract(events.begin());
+            event.mapped()(event.key());
+        }
+    };
+    CHECK(rc::check("no reset",
+                    [&]
+                    {
+                        property(*rc::gen::container<std::vector<std::uint8_t>>(
+                            300, rc::gen::arbitrary<std::uint8_t>()));
+                    }));
+}
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -49,7 +49,8 @@
 std::string_view to_string(refusal_reason reason)
 {
     constexpr std::array<std::string_view, refusal_reason_count> names{
-        "no_reference", "reference_removed", "no_target", "overloaded"};
+        "no_reference", "reference_removed", "no_target", "overloaded",
+        "target_silent"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -127,7 +128,7 @@
                                        const view_reference& reference,
                                        instant now)
 {
-    const tracked_flow* tracked = flows_.find(packet.key);
+    tracked_flow* tracked = flows_.find(packet.key);
     const bool same_target =
         tracked != nullptr && (tracked->stage == flow_stage::established ||
                                packet.retransmission == 0 ||
@@ -138,6 +139,9 @@
         // A duplicate. Another target would take it for a second flow.
         if (const view_target* target = view_->find_target(tracked->target))
         {
+            // The caller may use its port again for a new flow, whose data may
+            // have the same numbers.
+            tracked->request = without_copies(tracked->request);
             return {.decision = to_target(*target)};
         }
     }
@@ -227,7 +231,7 @@
             (tracked->target == target.id ||
              std::ranges::find(tracked->tried_targets, target.id) !=
                  tracked->tried_targets.end());
-        if (already_tried)
+        if (already_tried || is_silent(target, now))
         {
             trust = target_trust::avoided;
         }
@@ -286,10 +290,121 @@
         return {.decision = discard{discard_reason::unknown_token}};
     }
     steering_result result{.decision = to_target(*target)};
+    if (settings_.releases_flows)
+    {
+        result.silence = record_silence(packet, reference, *target, now);
+    }
+    if (result.silence)
+    {
+        result.decision = refuse{refusal_reason::target_silent};
+        set_activity(*flows_.find(packet.key), flow_activity::none);
+        flows_.erase(packet.key);
+        return result;
+    }
     record_packet(packet, *target, now, result);
     return result;
 }
 
+std::optional<silence_details>
+steerer::record_silence(const flow_packet& packet,
+                        const view_reference& reference,
+                        const view_target& target, instant now)
+{
+    const tracked_flow* flow = flows_.find(packet.key);
+    const bool first_packet =
+        flow == nullptr || flow->stage == flow_stage::opening;
+    if (!first_packet && flow->target != target.id)
+    {
+        // The record is of a former flow of the caller's port.
+        return std::nullopt;
+    }
+    const request_step step =
+        first_packet ? request_step{.is_copy = packet.segment.data_bytes > 0}
+                     : advance(flow->request, packet.segment, now);
+    if ((first_packet && flow != nullptr) || step.acknowledges)
+    {
+        silence_.record_sign_of_life(target.id, now);
+        evidence_.clear_own(target, evidence_kind::silence, now);
+    }
+    if (!step.is_copy || packet.finishes || packet.aborts)
+    {
+        return std::nullopt;
+    }
+    if (step.unanswered_copies > 0)
+    {
+        silence_.record_unanswered(target.id, packet.key);
+        report_own_silence(target, packet.key, now);
+        if (reference.terms.idempotent)
+        {
+            const own_silence own =
+                silence_.evidence_of(target.id, packet.key, now);
+            const evidence_summary peers =
+                evidence_.evidence_of(target, evidence_kind::silence, now);
+            if (const auto rule = rule_of(
+                    {.withdrawn = target.standing == target_standing::withdrawn,
+                     .own = own,
+                     .peers = peers,
+                     .other = find_alternative(reference, target,
+                                               flow->request.sent_at, now)}))
+            {
+                return silence_details{*rule, target.id, own.flow_copies,
+                                       own.target_copies, peers.reporters};
+            }
+        }
+    }
+    silence_.record_copy(target.id, packet.key, now);
+    return std::nullopt;
+}
+
+bool steerer::is_silent(const view_target& target, instant now) const
+{
+    return settings_.releases_flows &&
+           (silence_.evidence_of(target.id, {}, now).target_copies >=
+                fatal_copies ||
+            is_reported_silent(
+                evidence_.evidence_of(target, evidence_kind::silence, now)));
+}
+
+alternative steerer::find_alternative(const view_reference& reference,
+                                      const view_target& silent,
+                                      instant first_sent, instant now)
+{
+    alternative best = alternative::none;
+    for (const weighted_service_id& weighted : reference.weighted_services)
+    {
+        alternative found = alternative::none;
+        for (const candidate& each :
+             candidates_for(weighted.service, nullptr, now))
+        {
+            const target_id id = view_->parts().targets[each.index].id;
+            if (id != silent.id && each.trust == target_trust::trusted)
+            {
+                found = std::max(found, silence_.is_alive_since(id, first_sent)
+                                            ? alternative::alive
+                                            : alternative::trusted);
+            }
+        }
+        // The caller's next flow may be opened at any of the services.
+        if (found == alternative::none)
+        {
+            return found;
+        }
+        best = std::max(best, found);
+    }
+    return best;
+}
+
+void steerer::report_own_silence(const view_target& target,
+                                 const flow_key& flow, instant now)
+{
+    const own_silence own = silence_.evidence_of(target.id, flow, now);
+    const std::uint32_t count = own.target_copies + own.openings;
+    if (count > 0)
+    {
+        evidence_.record_own(target, evidence_kind::silence, count, now);
+    }
+}
+
 void steerer::record_packet(const flow_packet& packet,
                             const view_target& target, instant now,
                             steering_result& result)
@@ -405,12 +520,18 @@
         {
             timed_out.push_back({opening.key, opening.target,
                                  observer_.load_of(opening.target).failures});
+            if (settings_.releases_flows)
+            {
+                silence_.record_unanswered_opening(target->id, processed_until);
+                report_own_silence(*target, opening.key, processed_until);
+            }
         }
     }
     for (tracked_flow& expired : flows_.take_expired(processed_until))
     {
         set_activity(expired, flow_activity::none);
     }
+    silence_.discard_old(processed_until);
     return timed_out;
 }
 
--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -18,6 +18,7 @@
 #include "catkinkeel/steering/admission.hpp"
 #include "catkinkeel/steering/flow_tracker.hpp"
 #include "catkinkeel/steering/selection.hpp"
+#include "catkinkeel/steering/silent_targets.hpp"
 #include "catkinkeel/steering/target_evidence.hpp"
 #include "catkinkeel/steering/target_observer.hpp"
 #include "catkinkeel/steering/token.hpp"
@@ -80,12 +81,15 @@
     no_target,
     /// Every target has more work than it can finish within the deadline of a
     /// request, and the caller won't retransmit this opening packet.
-    overloaded
+    overloaded,
+    /// The target of the open flow does not acknowledge data.
+    target_silent
 };
-inline constexpr std::size_t refusal_reason_count = 4;
+inline constexpr std::size_t refusal_reason_count = 5;
 
 /// Reject the flow with an immediate reply to the caller. Only for packets
-/// whose request can't have been executed yet.
+/// whose request can't have been executed yet, or, with `target_silent`, may be
+/// executed twice.
 struct refuse
 {
     refusal_reason reason = refusal_reason::no_reference;
@@ -136,6 +140,22 @@
                             const selection_details&) = default;
 };
 
+/// Facts on which the reset of a flow was based, for the event log.
+struct silence_details
+{
+    silence_rule rule = silence_rule::withdrawn;
+    target_id target;
+    /// Unanswered copies of the flow and of all flows of this daemon to the
+    /// target.
+    std::uint32_t flow_copies = 0;
+    std::uint32_t target_copies = 0;
+    /// Peers that report silence.
+    std::uint32_t reporters = 0;
+
+    friend auto operator<=>(const silence_details&,
+                            const silence_details&) = default;
+};
+
 /// The decision on a packet and what the packet shows about its flow.
 struct steering_result
 {
@@ -148,6 +168,8 @@
     /// Time from the last data of a request to this packet, if it is the first
     /// to acknowledge a part of the answer.
     std::optional<duration> exchange_duration;
+    /// Set if the flow is reset because of its target's silence.
+    std::optional<silence_details> silence;
 
     friend auto operator<=>(const steering_result&,
                             const steering_result&) = default;
@@ -242,6 +264,21 @@
     steering_result steer_by_token(const flow_packet& packet,
                                    const view_reference& reference,
                                    instant now);
+    /// Records what a packet of an open flow shows about the silence of
+    /// `target`. Returns the facts if the flow has to be reset.
+    std::optional<silence_details>
+    record_silence(const flow_packet& packet, const view_reference& reference,
+                   const view_target& target, instant now);
+    /// Whether new flows avoid the target because it does not acknowledge data,
+    /// by what this daemon or its peers have seen.
+    [[nodiscard]] bool is_silent(const view_target& target, instant now) const;
+    /// Where the caller of a flow to `silent` could be served. `first_sent` is
+    /// when the data was first sent.
+    [[nodiscard]] alternative find_alternative(const view_reference& reference,
+                                               const view_target& silent,
+                                               instant first_sent, instant now);
+    void report_own_silence(const view_target& target, const flow_key& flow,
+                            instant now);
     /// Updates the record of an open flow by a packet to `target`.
     void record_packet(const flow_packet& packet, const view_target& target,
                        instant now, steering_result& result);
@@ -274,6 +311,7 @@
     std::optional<data_centre_id> own_data_centre_;
     target_observer observer_;
     evidence_pool evidence_;
+    silent_targets silence_;
     flow_tracker flows_;
     std::vector<pending_opening> unsent_openings_;
 };
