Log and count flows that are reset because of a silent target

Event 6014 flow_reset has the target, the rule, the copies and the number of daemons that report silence, limited in rate as the other lines about flows. flows_reset_total counts by rule.

--- a/catkinkeel/edge/edge_metrics.cpp
+++ b/catkinkeel/edge/edge_metrics.cpp
@@ -78,11 +78,15 @@
       refused_(counters_by_reason<steering::refusal_reason,
                                   steering::refusal_reason_count>(
           *registry_, "flows_refused_total",
-          "Opening packets refused, by reason")),
+          "Opening packets refused and open flows reset, by reason")),
       discarded_(counters_by_reason<steering::discard_reason,
                                     steering::discard_reason_count>(
           *registry_, "packets_discarded_total",
           "Packets dropped on purpose, by reason")),
+      reset_(counters_by_reason<steering::silence_rule,
+                                steering::silence_rule_count>(
+          *registry_, "flows_reset_total",
+          "Open flows of silent targets reset, by rule")),
       packets_received(counter(*registry_, "packets_received_total",
                                "Datagrams received from the routers")),
       packets_forwarded(counter(*registry_, "packets_forwarded_total",
--- a/catkinkeel/edge/edge_metrics.hpp
+++ b/catkinkeel/edge/edge_metrics.hpp
@@ -36,12 +36,18 @@
     {
         return *discarded_.at(static_cast<std::size_t>(reason));
     }
+    /// Counter of open flows reset by this rule.
+    prometheus::Counter& reset(steering::silence_rule rule)
+    {
+        return *reset_.at(static_cast<std::size_t>(rule));
+    }
 
 private:
     std::shared_ptr<prometheus::Registry> registry_;
     /// Indexed by the value of the reason.
     std::array<prometheus::Counter*, steering::refusal_reason_count> refused_;
     std::array<prometheus::Counter*, steering::discard_reason_count> discarded_;
+    std::array<prometheus::Counter*, steering::silence_rule_count> reset_;
 
 public:
     prometheus::Counter& packets_received;
--- a/catkinkeel/edge/events_test.cpp
+++ b/catkinkeel/edge/events_test.cpp
@@ -109,6 +109,49 @@
     CHECK(counts.find("301 are open") != std::string::npos);
 }
 
+TEST_CASE("the reset of a withdrawn target's flow is logged and counted")
+{
+    // Guards against resets whose cause an operator cannot find.
+    daemon_fixture site;
+    site.settings.steering.releases_flows = true;
+    site.daemon.reset();
+    site.start(site.source);
+    steering::metadata_update update = ::make_site_update(site.socket->local());
+    auto target = std::get<steering::target_announced>(update.changes[1]);
+    target.target.name = "t2";
+    target.target.identity = 2;
+    update.changes.emplace_back(target);
+    // Draining targets are withdrawn without delay.
+    target.target.name = "t";
+    target.target.state = steering::announced_state::draining;
+    update.changes.emplace_back(target);
+    update.changes.emplace_back(steering::target_withdrawn{"t"});
+    update.complete = false;
+    site.source->enqueue(update);
+    REQUIRE(eventually([&] { return site.is_ready(); }));
+    site.send('q', steering::token_of("t").value);
+    CHECK(site.receive().starts_with("q"));
+    std::this_thread::sleep_for(steering::min_copy_interval + 10ms);
+    site.send('q', steering::token_of("t").value);
+    CHECK(site.receive() == "r");
+    const std::string metrics = send_get(site.settings.metrics, "/metrics");
+    CHECK(metrics.find("flows_reset_total{reason=\"withdrawn\"} 1") !=
+          std::string::npos);
+    site.daemon.reset();
+    site.events->ring().close();
+    std::size_t lines = 0;
+    while (const auto batch = site.events->ring().pop())
+    {
+        for (const event_record& each : *batch)
+        {
+            CHECK(missing_fields(each).empty());
+            CHECK(each.number != event_number::flow_refused);
+            lines += each.number == event_number::flow_reset;
+        }
+    }
+    CHECK(lines == 1);
+}
+
 TEST_CASE("a failed snapshot request is logged with its reason")
 {
     // Guards against a peer's error that is discarded without a log line.
--- a/catkinkeel/edge/packet_duty.cpp
+++ b/catkinkeel/edge/packet_duty.cpp
@@ -226,6 +226,10 @@
     {
         log_placement(result, *packet);
     }
+    if (result.silence)
+    {
+        log_reset(*result.silence, *packet);
+    }
     if (result.handshake_duration)
     {
         metrics_->handshake_seconds.Observe(
@@ -257,7 +261,9 @@
 {
     to_send_.push_back(codec_->encode_refusal(bytes, next_storage()));
     metrics_->refused(refusal.reason).Increment();
-    if (flow_log_.try_admit(now_))
+    // `log_reset` writes the line of a reset flow.
+    if (refusal.reason != steering::refusal_reason::target_silent &&
+        flow_log_.try_admit(now_))
     {
         flow_log_.add(event_number::flow_refused,
                       {field("flow", flow_name(packet.key)),
@@ -312,6 +318,27 @@
          field("version", view.version.value), field("view_ms", view_age())});
 }
 
+void packet_duty::log_reset(const steering::silence_details& facts,
+                            const steering::flow_packet& packet)
+{
+    metrics_->reset(facts.rule).Increment();
+    if (!flow_log_.try_admit(now_))
+    {
+        return;
+    }
+    const steering::view_target* target =
+        steerer_.view()->find_target(facts.target);
+    flow_log_.add(event_number::flow_reset,
+                  {field("flow", flow_name(packet.key)),
+                   field("target", target == nullptr ? "?" : target->name),
+                   field("rule", std::string(to_string(facts.rule))),
+                   field("copies", facts.flow_copies),
+                   field("target_copies", facts.target_copies),
+                   field("reporters", facts.reporters),
+                   field("version", steerer_.view()->parts().version.value),
+                   field("view_ms", view_age())});
+}
+
 void packet_duty::report_unanswered(instant drained_at)
 {
     const duration handshake_timeout =
--- a/catkinkeel/edge/packet_duty.hpp
+++ b/catkinkeel/edge/packet_duty.hpp
@@ -87,6 +87,8 @@
                  const steering::flow_packet& packet, packet_view bytes);
     void log_placement(const steering::steering_result& result,
                        const steering::flow_packet& packet);
+    void log_reset(const steering::silence_details& facts,
+                   const steering::flow_packet& packet);
     /// Reports the opening packets that targets have not answered. All packets
     /// received until `drained_at` have been processed.
     void report_unanswered(instant drained_at);
--- a/catkinkeel/edge/test_daemon.hpp
+++ b/catkinkeel/edge/test_daemon.hpp
@@ -105,8 +105,9 @@
     bool stopped_ = false;
 };
 
-/// Codec of test packets: one byte, 'o' for an opening packet or 'd' for any
-/// other, and the token. A packet that begins with 'x' makes it throw.
+/// Codec of test packets: one byte, 'o' for an opening packet, 'q' for one with
+/// data or 'd' for any other, and the token. A packet that begins with 'x'
+/// makes it throw.
 class test_codec : public packet_codec
 {
 public:
@@ -123,6 +124,7 @@
         }
         steering::flow_packet facts{.key = {{{1}, 1}, {{2}, 443}}};
         facts.opens = packet.bytes[0] == std::byte{'o'};
+        facts.segment.data_bytes = packet.bytes[0] == std::byte{'q'} ? 1 : 0;
         std::memcpy(&facts.token.value, packet.bytes.data() + 1, 4);
         return facts;
     }
--- a/catkinkeel/event/catalogue.cpp
+++ b/catkinkeel/event/catalogue.cpp
@@ -334,6 +334,14 @@
         "packet of flow {flow} dropped: {reason}; terms {version}, view "
         "{view_ms} ms old",
         "For no_view, look for configuration_unreachable."},
+    event_definition{
+        number::flow_reset, "flow_reset", info, change::none, 0,
+        "flow {flow} reset because target {target} does not acknowledge data, "
+        "by rule {rule}: {copies} copies of it unanswered, {target_copies} of "
+        "all flows here, {reporters} daemons report silence; terms {version}, "
+        "view {view_ms} ms old",
+        "If target_standing does not show soon that the target was withdrawn, "
+        "check the target and the network to it."},
 
     event_definition{number::message_dropped, "message_dropped", warning,
                      change::none, once_per_minute,
--- a/catkinkeel/event/catalogue.hpp
+++ b/catkinkeel/event/catalogue.hpp
@@ -93,6 +93,7 @@
     flow_placed = 6011,
     flow_refused = 6012,
     flow_discarded = 6013,
+    flow_reset = 6014,
 
     message_dropped = 7001,
     key_changed = 7002,
