--- a/catkinkeel/edge/edge_metrics.hpp
+++ b/catkinkeel/edge/edge_metrics.hpp
@@ -57,6 +57,11 @@
     {
         return *evidence_reports_dropped_.at(static_cast<std::size_t>(reason));
     }
+    /// Counter of open flows reset by this rule.
+    prometheus::Counter& reset(steering::silence_rule rule)
+    {
+        return *reset_.at(static_cast<std::size_t>(rule));
+    }
 
 private:
     std::shared_ptr<prometheus::Registry> registry_;
@@ -65,6 +70,7 @@
     std::array<prometheus::Counter*, steering::discard_reason_count> discarded_;
     std::array<prometheus::Counter*, report_drop_reason_count>
         evidence_reports_dropped_;
+    std::array<prometheus::Counter*, steering::silence_rule_count> reset_;
 
 public:
     prometheus::Counter& packets_received;
