Hold back openings by value, priority and measured wait

Cause: admission knew only the requests in flight of this daemon's own flows. One daemon of 60 sees each target once in 6 s, so in overload the limit never held, targets shed all references alike, and slow targets answered most requests late.

Change: for a service that references of different priority use, the new cost_admission measures the typical work of each reference and the mean wait, keeps an AIMD level per service, and refuses openings of the least dense references (2^priority step / work) first. An opening that cannot be answered before its timeout is refused at once (out_of_time). The in-flight limits of a target follow from goal and work. Other services are decided on as before.

--- a/catkinkeel/steering/admission.hpp
+++ b/catkinkeel/steering/admission.hpp
@@ -41,7 +41,11 @@
     /// Drop the packet; the caller will retransmit it.
     drop,
     /// No retransmission follows, so refuse the flow at once.
-    refuse
+    refuse,
+    /// Openings of more value need the capacity, so refuse the flow at once.
+    hold_back,
+    /// It can't be answered before its timeout, so refuse the flow at once.
+    out_of_time
 };
 
 /// Decides on an opening packet whose best candidate is `best`.
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -44,12 +44,29 @@
            static_cast<double>(mean->count());
 }
 
+/// The decision on an opening packet that is not admitted.
+steering_decision decision_on(admission verdict)
+{
+    switch (verdict)
+    {
+    case admission::refuse:
+        return refuse{refusal_reason::overloaded};
+    case admission::hold_back:
+        return refuse{refusal_reason::held_back};
+    case admission::out_of_time:
+        return refuse{refusal_reason::out_of_time};
+    default:
+        return discard{discard_reason::overloaded};
+    }
+}
+
 } // namespace
 
 std::string_view to_string(refusal_reason reason)
 {
     constexpr std::array<std::string_view, refusal_reason_count> names{
-        "no_reference", "reference_removed", "no_target", "overloaded"};
+        "no_reference", "reference_removed", "no_target",
+        "overloaded",   "held_back",         "out_of_time"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -67,6 +84,7 @@
       policy_(std::move(policy)),
       random_(random),
       observer_(settings_.observer),
+      cost_admission_(settings_.cost, settings_.admission),
       flows_(settings_.tracker)
 {
 }
@@ -79,6 +97,7 @@
     }
     view_ = std::move(view);
     observer_.retain_targets_of(*view_);
+    cost_admission_.replace_view(*view_);
     own_data_centre_.reset();
     const std::vector<std::string>& data_centre_names =
         view_->parts().data_centres;
@@ -157,15 +176,12 @@
         return {.decision = refuse{refusal_reason::no_target}};
     }
     const candidate& selected = candidates[*position];
-    const admission verdict =
-        admit(settings_.admission, packet.retransmission, selected);
-    if (verdict == admission::drop)
+    const admission verdict = cost_admission_.decide(
+        {service, reference.address, packet.retransmission}, selected, random_,
+        now);
+    if (verdict != admission::start)
     {
-        return {.decision = discard{discard_reason::overloaded}};
-    }
-    if (verdict == admission::refuse)
-    {
-        return {.decision = refuse{refusal_reason::overloaded}};
+        return {.decision = decision_on(verdict)};
     }
     const view_target& target = view_->parts().targets[selected.index];
     record_opening(packet, target, now);
@@ -287,6 +303,11 @@
     }
     steering_result result{.decision = to_target(*target)};
     record_packet(packet, *target, now, result);
+    if (result.exchange_duration)
+    {
+        cost_admission_.record_exchange(target->service, reference.address,
+                                        *result.exchange_duration, now);
+    }
     return result;
 }
 
--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -16,6 +16,7 @@
 #include "catkinkeel/base/random.hpp"
 #include "catkinkeel/base/time.hpp"
 #include "catkinkeel/steering/admission.hpp"
+#include "catkinkeel/steering/cost_admission.hpp"
 #include "catkinkeel/steering/flow_tracker.hpp"
 #include "catkinkeel/steering/selection.hpp"
 #include "catkinkeel/steering/target_evidence.hpp"
@@ -80,9 +81,14 @@
     no_target,
     /// Every target has more work than it can finish within the deadline of a
     /// request, and the caller won't retransmit this opening packet.
-    overloaded
+    overloaded,
+    /// The service has too little capacity, and requests of other references
+    /// have more value for the work that they need.
+    held_back,
+    /// The request can't be answered before its timeout.
+    out_of_time
 };
-inline constexpr std::size_t refusal_reason_count = 4;
+inline constexpr std::size_t refusal_reason_count = 6;
 
 /// Reject the flow with an immediate reply to the caller. Only for packets
 /// whose request can't have been executed yet.
@@ -174,6 +180,7 @@
     duration max_view_age = 3s;
     observer_settings observer;
     admission_limits admission;
+    cost_admission_settings cost;
     tracker_settings tracker;
     /// Give fewer new flows to targets whose answers look like errors.
     bool judges_answers = false;
@@ -229,6 +236,11 @@
     {
         return evidence_;
     }
+    /// Admission of the services that references of different priority use.
+    [[nodiscard]] cost_admission& admission_by_cost()
+    {
+        return cost_admission_;
+    }
     [[nodiscard]] std::size_t tracked_flows() const
     {
         return flows_.size();
@@ -274,6 +286,7 @@
     std::optional<data_centre_id> own_data_centre_;
     target_observer observer_;
     evidence_pool evidence_;
+    cost_admission cost_admission_;
     flow_tracker flows_;
     std::vector<pending_opening> unsent_openings_;
 };
