Measure the wait by a percentile and report admission

The level also rose too slowly after a surge, and operators saw nothing of it.

Change: the wait is the 40th percentile of the waits of 0.5 s, or of the last 5; the level rises by 0.3 in 250 ms. Counters by reference and reason, gauges of level and wait by service (64 of each at most), events 6020 and 6021 once per 10 s.

--- a/catkinkeel/edge/edge_metrics.cpp
+++ b/catkinkeel/edge/edge_metrics.cpp
@@ -75,6 +75,22 @@
 
 edge_metrics::edge_metrics()
     : registry_(std::make_shared<prometheus::Registry>()),
+      not_admitted_(
+          prometheus::BuildCounter()
+              .Name("catkinkeel_openings_not_admitted_total")
+              .Help("Opening packets delayed or refused for lack of capacity, "
+                    "by reference")
+              .Register(*registry_)),
+      admission_level_(prometheus::BuildGauge()
+                           .Name("catkinkeel_admission_level")
+                           .Help("1 if the service holds back no openings, 0 "
+                                 "if it holds back most")
+                           .Register(*registry_)),
+      admission_wait_(prometheus::BuildGauge()
+                          .Name("catkinkeel_admission_wait_seconds")
+                          .Help("Time that exchanges of the service take "
+                                "beyond their work")
+                          .Register(*registry_)),
       refused_(counters_by_reason<steering::refusal_reason,
                                   steering::refusal_reason_count>(
           *registry_, "flows_refused_total",
@@ -146,6 +162,49 @@
 {
 }
 
+void edge_metrics::count_not_admitted(std::string_view reference,
+                                      std::string_view reason)
+{
+    auto counters = not_admitted_counters_.find(reference);
+    if (counters == not_admitted_counters_.end())
+    {
+        const bool has_room =
+            not_admitted_counters_.size() < max_labelled_objects;
+        counters = not_admitted_counters_
+                       .try_emplace(has_room ? std::string(reference) : "")
+                       .first;
+    }
+    auto counter = counters->second.find(reason);
+    if (counter == counters->second.end())
+    {
+        prometheus::Counter& added = not_admitted_.Add(
+            {{"reference", counters->first}, {"reason", std::string(reason)}});
+        counter = counters->second.emplace(reason, &added).first;
+    }
+    counter->second->Increment();
+}
+
+void edge_metrics::set_admission(const std::string& service, double level,
+                                 duration wait)
+{
+    auto gauges = admission_gauges_.find(service);
+    if (gauges == admission_gauges_.end())
+    {
+        if (admission_gauges_.size() >= max_labelled_objects)
+        {
+            return;
+        }
+        const prometheus::Labels labels{{"service", service}};
+        gauges =
+            admission_gauges_
+                .emplace(service, service_gauges{&admission_level_.Add(labels),
+                                                 &admission_wait_.Add(labels)})
+                .first;
+    }
+    gauges->second.level->Set(level);
+    gauges->second.wait->Set(in_seconds(wait));
+}
+
 std::string edge_metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(registry_->Collect());
--- a/catkinkeel/edge/edge_metrics.hpp
+++ b/catkinkeel/edge/edge_metrics.hpp
@@ -5,18 +5,25 @@
 #include "catkinkeel/steering/steerer.hpp"
 
 #include <prometheus/counter.h>
+#include <prometheus/family.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <array>
 #include <cstddef>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace catkinkeel::edge
 {
 
+/// Maximum number of references, and of services, with series of their own.
+inline constexpr std::size_t max_labelled_objects = 64;
+
 /// The metrics of an edge daemon, which the duties write directly. Safe to use
 /// from any thread. The references are valid as long as the registry.
 class edge_metrics
@@ -37,8 +44,32 @@
         return *discarded_.at(static_cast<std::size_t>(reason));
     }
 
+    /// Counts an opening packet of `reference` that was not admitted. Only for
+    /// the packet thread. References beyond `max_labelled_objects` are counted
+    /// without a name.
+    void count_not_admitted(std::string_view reference,
+                            std::string_view reason);
+
+    /// Sets the gauges of the service. Only for the packet thread. Ignored for
+    /// services beyond `max_labelled_objects`.
+    void set_admission(const std::string& service, double level, duration wait);
+
 private:
+    struct service_gauges
+    {
+        prometheus::Gauge* level;
+        prometheus::Gauge* wait;
+    };
+    using counters_by_name =
+        std::map<std::string, prometheus::Counter*, std::less<>>;
+
     std::shared_ptr<prometheus::Registry> registry_;
+    prometheus::Family<prometheus::Counter>& not_admitted_;
+    prometheus::Family<prometheus::Gauge>& admission_level_;
+    prometheus::Family<prometheus::Gauge>& admission_wait_;
+    /// By reference and reason.
+    std::map<std::string, counters_by_name, std::less<>> not_admitted_counters_;
+    std::map<std::string, service_gauges> admission_gauges_;
     /// Indexed by the value of the reason.
     std::array<prometheus::Counter*, steering::refusal_reason_count> refused_;
     std::array<prometheus::Counter*, steering::discard_reason_count> discarded_;
--- a/catkinkeel/edge/events_test.cpp
+++ b/catkinkeel/edge/events_test.cpp
@@ -168,3 +168,27 @@
     REQUIRE(lines->size() == 1);
     CHECK(lines->front().number == event_number::records_dropped);
 }
+
+TEST_CASE("series of references and services that hold back are bounded")
+{
+    // Guards against a series for each of thousands of references.
+    edge_metrics metrics;
+    for (int i = 0; i < 70; ++i)
+    {
+        const std::string name = "r" + std::to_string(i);
+        metrics.count_not_admitted(name, "held_back");
+        metrics.set_admission(name, 0.5, 100ms);
+    }
+    metrics.count_not_admitted("r0", "delayed");
+    const std::string text = metrics.text();
+    const auto has = [&](const std::string& line)
+    {
+        return text.find(line) != std::string::npos;
+    };
+    CHECK(has("not_admitted_total{reason=\"held_back\",reference=\"r63\"} 1"));
+    CHECK(has("not_admitted_total{reason=\"held_back\",reference=\"\"} 6"));
+    CHECK(has("not_admitted_total{reason=\"delayed\",reference=\"r0\"} 1"));
+    CHECK(has("admission_level{service=\"r63\"} 0.5"));
+    CHECK(has("admission_wait_seconds{service=\"r63\"} 0.1"));
+    CHECK_FALSE(has("r64"));
+}
--- a/catkinkeel/edge/packet_duty.cpp
+++ b/catkinkeel/edge/packet_duty.cpp
@@ -21,6 +21,9 @@
 /// waited longer than this are dropped.
 constexpr duration first_view_timeout = 150ms;
 
+/// Period at which the gauges of admission are set while packets arrive.
+constexpr duration admission_gauge_period = 1s;
+
 /// Longest wait for packets while no log lines wait to be flushed.
 constexpr duration max_receive_wait = 1h;
 
@@ -30,6 +33,14 @@
     return to_string(key.caller) + ">" + to_string(key.service_side);
 }
 
+/// Whether an opening is refused for this reason because of too little
+/// capacity.
+bool lacks_capacity(steering::refusal_reason reason)
+{
+    using enum steering::refusal_reason;
+    return reason == overloaded || reason == held_back || reason == out_of_time;
+}
+
 } // namespace
 
 flow_log::flow_log(std::uint32_t max_lines_per_second,
@@ -208,6 +219,7 @@
     const instant sent = boot_now();
     steerer_.record_sent(sent);
     metrics_->batch_seconds.Observe(in_seconds(sent - now_));
+    report_admission();
 }
 
 void packet_duty::handle(const received_datagram& datagram)
@@ -257,6 +269,12 @@
 {
     to_send_.push_back(codec_->encode_refusal(bytes, next_storage()));
     metrics_->refused(refusal.reason).Increment();
+    if (lacks_capacity(refusal.reason))
+    {
+        metrics_->count_not_admitted(
+            steerer_.view()->find_reference(packet.key.service_side)->name,
+            to_string(refusal.reason));
+    }
     if (flow_log_.try_admit(now_))
     {
         flow_log_.add(event_number::flow_refused,
@@ -272,6 +290,12 @@
                           packet_view /*bytes*/)
 {
     metrics_->discarded(discarded_packet.reason).Increment();
+    if (discarded_packet.reason == steering::discard_reason::overloaded)
+    {
+        metrics_->count_not_admitted(
+            steerer_.view()->find_reference(packet.key.service_side)->name,
+            "delayed");
+    }
     if (flow_log_.try_admit(now_))
     {
         const auto& view = steerer_.view();
@@ -336,6 +360,37 @@
     metrics_->flows_tracked.Set(static_cast<double>(steerer_.tracked_flows()));
 }
 
+void packet_duty::report_admission()
+{
+    if (steerer_.view() == nullptr)
+    {
+        return;
+    }
+    const std::vector<steering::view_service>& services =
+        steerer_.view()->parts().services;
+    steering::cost_admission& admission = steerer_.admission_by_cost();
+    for (const steering::service_admission& each : admission.take_changes())
+    {
+        const std::string& service = services[each.service.value].name;
+        events_->report(each.level < 1 ? event_number::admission_reduced
+                                       : event_number::admission_restored,
+                        {field("service", service),
+                         field("wait_ms", in_milliseconds(each.wait))});
+        metrics_->set_admission(service, each.level, each.wait);
+    }
+    if (now_ - admission_reported_at_ < admission_gauge_period)
+    {
+        return;
+    }
+    admission_reported_at_ = now_;
+    for (const steering::service_admission& each :
+         admission.reduced_services(now_))
+    {
+        metrics_->set_admission(services[each.service.value].name, each.level,
+                                each.wait);
+    }
+}
+
 std::string packet_duty::view_age() const
 {
     const auto& view = steerer_.view();
--- a/catkinkeel/edge/packet_duty.hpp
+++ b/catkinkeel/edge/packet_duty.hpp
@@ -90,6 +90,8 @@
     /// Reports the opening packets that targets have not answered. All packets
     /// received until `drained_at` have been processed.
     void report_unanswered(instant drained_at);
+    /// Reports services that hold back openings.
+    void report_admission();
     /// Makes the newest view from the ring the current one.
     void adopt_views();
     packet_storage& next_storage();
@@ -108,6 +110,7 @@
     std::size_t storage_used_ = 0;
     std::vector<outgoing_datagram> to_send_;
     instant now_;
+    instant admission_reported_at_;
     std::atomic<duration::rep> last_packet_{0};
     std::thread thread_;
 };
--- a/catkinkeel/event/catalogue.cpp
+++ b/catkinkeel/event/catalogue.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr std::uint32_t once_per_minute = 60; // log period in seconds
+constexpr std::uint32_t once_per_ten_seconds = 10;
 
 using enum severity;
 using number = event_number;
@@ -328,12 +329,26 @@
     event_definition{
         number::flow_refused, "flow_refused", info, change::none, 0,
         "flow {flow} refused: {reason}; terms {version}, view {view_ms} ms old",
-        "For no_target, look for target_standing of the service's targets."},
+        "For no_target, look for target_standing of the service's targets; for "
+        "held_back and out_of_time, for admission_reduced."},
     event_definition{
         number::flow_discarded, "flow_discarded", info, change::none, 0,
         "packet of flow {flow} dropped: {reason}; terms {version}, view "
         "{view_ms} ms old",
         "For no_view, look for configuration_unreachable."},
+    event_definition{
+        number::admission_reduced, "admission_reduced", warning, change::none,
+        once_per_ten_seconds,
+        "service {service} holds back openings of references of less value: "
+        "exchanges wait {wait_ms} ms beyond their work",
+        "Look for targets that left or became slow, and for a surge of "
+        "callers."},
+    event_definition{
+        number::admission_restored, "admission_restored", info, change::none,
+        once_per_ten_seconds,
+        "service {service} admits openings of all references again; exchanges "
+        "wait {wait_ms} ms beyond their work",
+        "None."},
 
     event_definition{number::message_dropped, "message_dropped", warning,
                      change::none, once_per_minute,
--- a/catkinkeel/event/catalogue.hpp
+++ b/catkinkeel/event/catalogue.hpp
@@ -93,6 +93,8 @@
     flow_placed = 6011,
     flow_refused = 6012,
     flow_discarded = 6013,
+    admission_reduced = 6020,
+    admission_restored = 6021,
 
     message_dropped = 7001,
     key_changed = 7002,
--- a/catkinkeel/steering/cost_admission.cpp
+++ b/catkinkeel/steering/cost_admission.cpp
@@ -46,14 +46,42 @@
 
 } // namespace
 
-decaying_mean decaying_mean::with(double sample, instant now,
-                                  duration time_constant,
-                                  double min_samples) const
+recent_waits recent_waits::with(duration wait, instant now) const
 {
-    const double elapsed = std::max(0.0, in_seconds(now - updated_at));
-    double kept = weight * std::exp(-elapsed / in_seconds(time_constant));
-    kept = std::max(kept, std::min(weight, min_samples - 1));
-    return {value() * kept + sample, kept + 1, now};
+    recent_waits next = *this;
+    next.entries_.at(next.count_++ % capacity) = {wait, now};
+    return next;
+}
+
+duration recent_waits::percentile(double part, duration window,
+                                  std::size_t min_count, instant now) const
+{
+    std::array<duration, capacity> newest{};
+    const std::size_t kept = std::min<std::uint64_t>(count_, capacity);
+    std::size_t used = 0;
+    while (used < kept)
+    {
+        const entry& each = entries_.at((count_ - 1 - used) % capacity);
+        if (used >= min_count && now - each.ended_at > window)
+        {
+            break;
+        }
+        newest.at(used++) = each.wait;
+    }
+    if (used == 0)
+    {
+        return {};
+    }
+    const auto position = std::lround(part * static_cast<double>(used - 1));
+    std::nth_element(newest.begin(), newest.begin() + position,
+                     newest.begin() + used);
+    return newest.at(position);
+}
+
+instant recent_waits::updated_at() const
+{
+    return count_ == 0 ? instant()
+                       : entries_.at((count_ - 1) % capacity).ended_at;
 }
 
 typical_work typical_work::with(duration exchange, instant now) const
@@ -166,11 +194,6 @@
     return found == positions.end() ? nullptr : &references[found->second];
 }
 
-duration cost_admission::measured_service::mean_wait() const
-{
-    return from_seconds(std::max(0.0, wait.value()));
-}
-
 cost_admission::measured_service* cost_admission::find(service_id service)
 {
     const auto found = services_.find(service);
@@ -230,6 +253,13 @@
         service.references = std::move(references);
         update_ranks(service);
     }
+    for (auto& [id, service] : former)
+    {
+        if (!services_.contains(id))
+        {
+            set_level(service, 1);
+        }
+    }
 }
 
 void cost_admission::record_exchange(service_id service_of_flow,
@@ -252,18 +282,20 @@
     {
         return;
     }
-    service->wait = service->wait.with(in_seconds(elapsed - *work), now,
-                                       settings_.wait_time_constant,
-                                       settings_.min_wait_samples);
+    service->waits =
+        service->waits.with(std::max(duration::zero(), elapsed - *work), now);
     if (now >= service->next_update)
     {
         service->next_update = now + settings_.update_period;
-        update(*service);
+        update(*service, now);
     }
 }
 
-void cost_admission::update(measured_service& service)
+void cost_admission::update(measured_service& service, instant now)
 {
+    service.wait = service.waits.percentile(settings_.wait_percentile,
+                                            settings_.wait_window,
+                                            settings_.min_waits, now);
     update_ranks(service);
     std::optional<duration> budget;
     for (const measured_reference& each : service.references)
@@ -277,8 +309,8 @@
     }
     if (budget && service.exchanges >= typical_work::initial_exchanges)
     {
-        set_level(service, next_level(service.level, service.mean_wait(),
-                                      *budget, settings_));
+        set_level(service,
+                  next_level(service.level, service.wait, *budget, settings_));
     }
 }
 
@@ -315,14 +347,15 @@
     service.was_reduced = service.was_reduced || level < 1;
     if (was_whole != (level >= 1) && changes_.size() < max_admission_changes)
     {
-        changes_.push_back({service.id, level, service.mean_wait()});
+        changes_.push_back({service.id, level, service.wait});
     }
 }
 
 void cost_admission::expire(measured_service& service, instant now)
 {
-    if (now - service.wait.updated_at > settings_.measurement_lifetime)
+    if (now - service.waits.updated_at() > settings_.measurement_lifetime)
     {
+        service.waits = {};
         service.wait = {};
         set_level(service, 1);
     }
@@ -343,7 +376,7 @@
     const duration work = reference->work.value().value_or(duration::zero());
     const duration timeout = reference->terms.timeout;
     const duration expected =
-        time_passed(opening.retransmission) + work + service->mean_wait();
+        time_passed(opening.retransmission) + work + service->wait;
     if (timeout > duration::zero() && expected > timeout)
     {
         return admission::out_of_time;
@@ -374,7 +407,7 @@
         expire(service, now);
         if (service.was_reduced)
         {
-            reduced.push_back({id, service.level, service.mean_wait()});
+            reduced.push_back({id, service.level, service.wait});
         }
     }
     return reduced;
--- a/catkinkeel/steering/cost_admission.hpp
+++ b/catkinkeel/steering/cost_admission.hpp
@@ -37,10 +37,13 @@
 
 struct cost_admission_settings
 {
-    /// Time constant of the mean wait. The mean covers at least
-    /// `min_wait_samples`, since a daemon may see only 5 exchanges a second.
-    duration wait_time_constant = 500ms;
-    double min_wait_samples = 5;
+    /// The wait of a service is this percentile of the waits within
+    /// `wait_window`, or of the last `min_waits`, since a daemon may see only 5
+    /// exchanges a second. A mean would be that of a few slow targets, at which
+    /// holding back openings of all changes nothing.
+    double wait_percentile = 0.4;
+    duration wait_window = 500ms;
+    std::size_t min_waits = 5;
     /// Period at which the level is updated while exchanges end.
     duration update_period = 250ms;
     /// Time without an exchange after which the level is whole again: what was
@@ -50,10 +53,10 @@
     /// the strictest latency goal leaves, and rises otherwise.
     double max_used_budget = 0.5;
     /// Factor and summand of the level for each update. The level falls to a
-    /// quarter within 1 s and rises to 1 again in 1.25 s. A slower rise (5 s)
+    /// quarter within 1 s and rises to 1 again in 1 s. A slower rise (5 s)
     /// left capacity unused after a surge.
     double fall_factor = 0.7;
-    double rise_step = 0.2;
+    double rise_step = 0.3;
     /// Least share of openings admitted of each reference.
     double min_share = 0.1;
     /// Bounds of the limits that are derived from measured work.
@@ -64,26 +67,36 @@
                             const cost_admission_settings&) = default;
 };
 
-/// Mean in which older samples count less. Immutable.
-struct decaying_mean
+/// Waits of the last exchanges of a service. Immutable.
+class recent_waits
 {
-    double sum = 0;
-    double weight = 0;
-    instant updated_at;
-
-    /// The mean with another sample. Samples lose weight with `time_constant`,
-    /// but the last `min_samples` keep a weight of 1 together with the new one.
-    [[nodiscard]] decaying_mean with(double sample, instant now,
-                                     duration time_constant,
-                                     double min_samples) const;
-    /// 0 without samples.
-    [[nodiscard]] double value() const
+public:
+    static constexpr std::size_t capacity = 32;
+
+    [[nodiscard]] recent_waits with(duration wait, instant now) const;
+
+    /// The wait that `part` of the exchanges stay below. Of exchanges older
+    /// than `window`, only so many count that there are `min_count`. Zero
+    /// without exchanges.
+    [[nodiscard]] duration percentile(double part, duration window,
+                                      std::size_t min_count, instant now) const;
+
+    /// When the last exchange ended.
+    [[nodiscard]] instant updated_at() const;
+
+    friend auto operator<=>(const recent_waits&, const recent_waits&) = default;
+
+private:
+    struct entry
     {
-        return weight > 0 ? sum / weight : 0;
-    }
+        duration wait{};
+        instant ended_at;
+
+        friend auto operator<=>(const entry&, const entry&) = default;
+    };
 
-    friend auto operator<=>(const decaying_mean&,
-                            const decaying_mean&) = default;
+    std::array<entry, capacity> entries_{};
+    std::uint64_t count_ = 0;
 };
 
 /// Time that the requests of one reference take at a target that is not
@@ -180,7 +193,8 @@
     }
 
     /// Adopts the references of a view. Measurements of references that stay
-    /// with a service are kept.
+    /// with a service are kept. A service that is not governed any more ceases
+    /// to hold back openings.
     void replace_view(const steering_view& view);
 
     /// Records an exchange that ended at `now`.
@@ -219,18 +233,18 @@
         /// Number of references with a rank.
         std::size_t ranked = 0;
         std::uint64_t exchanges = 0;
-        /// In seconds.
-        decaying_mean wait;
+        recent_waits waits;
+        /// Their percentile at the last update.
+        duration wait{};
         instant next_update;
         double level = 1;
         bool was_reduced = false;
 
         [[nodiscard]] measured_reference* find(const endpoint& address);
-        [[nodiscard]] duration mean_wait() const;
     };
 
     [[nodiscard]] measured_service* find(service_id service);
-    void update(measured_service& service);
+    void update(measured_service& service, instant now);
     void update_ranks(measured_service& service);
     void set_level(measured_service& service, double level);
     /// Drops measurements that are too old.
