--- a/catkinkeel/steering/cost_admission_test.cpp
+++ b/catkinkeel/steering/cost_admission_test.cpp
@@ -481,6 +481,37 @@
     }
 }
 
+TEST_CASE("a new configuration keeps what was measured and ends what it ends")
+{
+    // Guards against 20 exchanges without control after each of thousands of
+    // changes a day, and against a gauge that shows an old level for ever.
+    cost_admission control({}, {});
+    view_data parts = make_view(urgent_terms, routine_terms)->parts();
+    const auto adopt = [&](std::uint64_t version)
+    {
+        parts.version = {version};
+        control.replace_view(steering_view(parts));
+    };
+    adopt(1);
+    for (int i = 0; i < 90; ++i)
+    {
+        control.record_exchange(service, address(1, routine_port),
+                                i < 30 ? 40ms : 400ms, at(i * 20ms));
+    }
+    REQUIRE(control.take_changes().size() == 1);
+    const auto reduced = control.reduced_services(at(1800ms));
+    REQUIRE(reduced.size() == 1);
+    CHECK(reduced[0].level < 0.5);
+    adopt(2);
+    CHECK(control.reduced_services(at(1800ms)) == reduced);
+    parts.references.pop_back();
+    adopt(3);
+    CHECK(control.reduced_services(at(1800ms)).empty());
+    const auto changes = control.take_changes();
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].level == 1);
+}
+
 TEST_CASE("a steerer holds back and refuses by the exchanges of its flows")
 {
     // Guards against measurements that do not reach the decisions.
