--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -16,6 +16,7 @@
 #include "catkinkeel/base/random.hpp"
 #include "catkinkeel/base/time.hpp"
 #include "catkinkeel/steering/admission.hpp"
+#include "catkinkeel/steering/cost_admission.hpp"
 #include "catkinkeel/steering/flow_tracker.hpp"
 #include "catkinkeel/steering/selection.hpp"
 #include "catkinkeel/steering/silent_targets.hpp"
@@ -83,9 +84,14 @@
     /// request, and the caller won't retransmit this opening packet.
     overloaded,
     /// The target of the open flow does not acknowledge data.
-    target_silent
+    target_silent,
+    /// The service has too little capacity, and requests of other references
+    /// have more value for the work that they need.
+    held_back,
+    /// The request can't be answered before its timeout.
+    out_of_time
 };
-inline constexpr std::size_t refusal_reason_count = 5;
+inline constexpr std::size_t refusal_reason_count = 7;
 
 /// Reject the flow with an immediate reply to the caller. Only for packets
 /// whose request can't have been executed yet, or, with `target_silent`, may be
@@ -196,6 +202,7 @@
     duration max_view_age = 3s;
     observer_settings observer;
     admission_limits admission;
+    cost_admission_settings cost;
     tracker_settings tracker;
     /// Give fewer new flows to targets whose answers look like errors.
     bool judges_answers = false;
@@ -251,6 +258,11 @@
     {
         return evidence_;
     }
+    /// Admission of the services that references of different priority use.
+    [[nodiscard]] cost_admission& admission_by_cost()
+    {
+        return cost_admission_;
+    }
     [[nodiscard]] std::size_t tracked_flows() const
     {
         return flows_.size();
@@ -312,6 +324,7 @@
     target_observer observer_;
     evidence_pool evidence_;
     silent_targets silence_;
+    cost_admission cost_admission_;
     flow_tracker flows_;
     std::vector<pending_opening> unsent_openings_;
 };
