Suspect targets whose answers look like errors

Cause: targets that answer status 500 within 1 ms look idle and attract work while their health check is good; one daemon sees each target once in 6 s, and bookings are not retried.

Change: if steerer_settings::judges_answers is set, the size of the first acknowledged part of each answer is compared with the reference's usual sizes (answer_statistics). Events 5015 and 5016 and the gauge targets_suspected report it.

--- a/catkinkeel/edge/edge_metrics.cpp
+++ b/catkinkeel/edge/edge_metrics.cpp
@@ -127,6 +127,8 @@
                                   "Version of the configuration in effect")),
       targets_open(
           gauge(*registry_, "targets_open", "Targets that get new flows")),
+      targets_suspected(gauge(*registry_, "targets_suspected",
+                              "Targets whose answers look like errors")),
       flows_tracked(gauge(*registry_, "flows_tracked",
                           "Flows whose load this daemon counts")),
       store_confirmed(gauge(*registry_, "store_confirmed_timestamp_seconds",
--- a/catkinkeel/edge/edge_metrics.hpp
+++ b/catkinkeel/edge/edge_metrics.hpp
@@ -68,6 +68,9 @@
     prometheus::Gauge& ready;
     prometheus::Gauge& configuration_version;
     prometheus::Gauge& targets_open;
+    /// Targets that are suspected because of failing answers, including those
+    /// whose suspicion is ignored.
+    prometheus::Gauge& targets_suspected;
     prometheus::Gauge& flows_tracked;
     /// Unix time in seconds of the last successful read of the store.
     prometheus::Gauge& store_confirmed;
--- a/catkinkeel/edge/packet_duty.cpp
+++ b/catkinkeel/edge/packet_duty.cpp
@@ -71,7 +71,12 @@
 
 void flow_log::add(event_number number, std::vector<event_field> fields)
 {
-    lines_.push_back({number, wall_now(), std::move(fields)});
+    add({number, wall_now(), std::move(fields)});
+}
+
+void flow_log::add(event_record record)
+{
+    lines_.push_back(std::move(record));
 }
 
 void flow_log::flush_if_due(instant now)
@@ -93,6 +98,25 @@
     }
 }
 
+event_record make_suspicion_event(const steering::suspicion_change& change,
+                                  instant now)
+{
+    if (change.cause == steering::suspicion_cause::evidence)
+    {
+        return {event_number::target_suspected,
+                wall_now(),
+                {field("target", change.target),
+                 field("own", change.evidence.own_count),
+                 field("reports", change.evidence.peer_count),
+                 field("reporters", change.evidence.reporters)}};
+    }
+    return {event_number::target_cleared,
+            wall_now(),
+            {field("target", change.target),
+             field("milliseconds", in_milliseconds(now - change.since)),
+             field("reason", std::string(to_string(change.cause)))}};
+}
+
 packet_duty::packet_duty(const edge_settings& settings,
                          std::shared_ptr<udp_socket> socket,
                          std::shared_ptr<const packet_codec> codec,
@@ -208,6 +232,7 @@
     const instant sent = boot_now();
     steerer_.record_sent(sent);
     metrics_->batch_seconds.Observe(in_seconds(sent - now_));
+    report_suspicions();
 }
 
 void packet_duty::handle(const received_datagram& datagram)
@@ -336,6 +361,23 @@
     metrics_->flows_tracked.Set(static_cast<double>(steerer_.tracked_flows()));
 }
 
+void packet_duty::report_suspicions()
+{
+    const auto changes = steerer_.failing().take_changes();
+    for (const steering::suspicion_change& each : changes)
+    {
+        if (flow_log_.try_admit(now_))
+        {
+            flow_log_.add(make_suspicion_event(each, now_));
+        }
+    }
+    if (!changes.empty())
+    {
+        metrics_->targets_suspected.Set(
+            static_cast<double>(steerer_.failing().suspected_count()));
+    }
+}
+
 std::string packet_duty::view_age() const
 {
     const auto& view = steerer_.view();
--- a/catkinkeel/edge/packet_duty.hpp
+++ b/catkinkeel/edge/packet_duty.hpp
@@ -33,6 +33,7 @@
     /// counted as dropped.
     bool try_admit(instant now);
     void add(event_number number, std::vector<event_field> fields);
+    void add(event_record record);
     /// Flushes the lines if there are many or the oldest one is due.
     void flush_if_due(instant now);
     void flush();
@@ -52,6 +53,10 @@
     std::uint64_t dropped_lines_ = 0;
 };
 
+/// The event that says that a suspicion began or ended at `now`.
+event_record make_suspicion_event(const steering::suspicion_change& change,
+                                  instant now);
+
 class packet_duty
 {
 public:
@@ -90,6 +95,8 @@
     /// Reports the opening packets that targets have not answered. All packets
     /// received until `drained_at` have been processed.
     void report_unanswered(instant drained_at);
+    /// Reports the targets that are suspected from now on, or no longer.
+    void report_suspicions();
     /// Makes the newest view from the ring the current one.
     void adopt_views();
     packet_storage& next_storage();
--- a/catkinkeel/event/catalogue.cpp
+++ b/catkinkeel/event/catalogue.cpp
@@ -272,6 +272,19 @@
         "{revision} {open} are open, {draining} draining, {data_centre_out} in "
         "a data centre out of service and {withdrawn} withdrawn",
         "None."},
+    event_definition{
+        number::target_suspected, "target_suspected", warning, change::none, 0,
+        "answers of target {target} look like errors: {own} of this daemon's "
+        "own flows, {reports} reported by {reporters} other daemons; it gets "
+        "fewer new flows",
+        "Look for errors in the log of the target; if many targets are "
+        "suspected at once, look for what they have in common."},
+    event_definition{
+        number::target_cleared, "target_cleared", info, change::none, 0,
+        "target {target} is no longer suspected after {milliseconds} ms: "
+        "{reason}",
+        "None; if it alternates with target_suspected, the target fails a part "
+        "of its requests."},
 
     event_definition{
         number::buckets_claimed, "buckets_claimed", info, change::none, 0,
--- a/catkinkeel/event/catalogue.hpp
+++ b/catkinkeel/event/catalogue.hpp
@@ -79,6 +79,8 @@
     target_silent = 5012,
     target_lapse_doubted = 5013,
     target_standings = 5014,
+    target_suspected = 5015,
+    target_cleared = 5016,
 
     buckets_claimed = 6001,
     buckets_handed_over = 6002,
--- a/catkinkeel/steering/request_progress.cpp
+++ b/catkinkeel/steering/request_progress.cpp
@@ -33,6 +33,7 @@
         if (progress.in_progress)
         {
             step.answered_after = now - progress.sent_at;
+            step.answered_bytes = segment.acknowledged - progress.acknowledged;
             step.next.in_progress = false;
         }
     }
--- a/catkinkeel/steering/request_progress.hpp
+++ b/catkinkeel/steering/request_progress.hpp
@@ -53,6 +53,9 @@
     /// Time from the last data of a request to the acknowledgement of the first
     /// bytes of its answer; empty if this packet acknowledges none.
     std::optional<duration> answered_after;
+    /// Bytes of the answer that this packet acknowledges; 0 if
+    /// `answered_after` is empty.
+    std::uint32_t answered_bytes = 0;
 
     friend auto operator<=>(const request_step&, const request_step&) = default;
 };
--- a/catkinkeel/steering/request_progress_test.cpp
+++ b/catkinkeel/steering/request_progress_test.cpp
@@ -14,10 +14,12 @@
     CHECK(progress.in_progress);
     request_step step = advance(progress, {300, 2500, 0}, at(1040ms));
     CHECK(step.answered_after == 40ms);
+    CHECK(step.answered_bytes == 2000);
     CHECK_FALSE(step.next.in_progress);
     // The rest of the answer.
     step = advance(step.next, {300, 3500, 0}, at(1050ms));
     CHECK_FALSE(step.answered_after);
+    CHECK(step.answered_bytes == 0);
     step = advance(step.next, {300, 3500, 150}, at(2s));
     CHECK(step.next.in_progress);
     step = advance(step.next, {450, 5500, 0}, at(2030ms));
@@ -29,6 +31,7 @@
     // One that is sent with the acknowledgement of an answer.
     step = advance(step.next, {600, 7600, 150}, at(3020ms));
     CHECK(step.answered_after == 20ms);
+    CHECK(step.answered_bytes == 2000);
     CHECK(step.next.in_progress);
 }
 
@@ -59,6 +62,7 @@
     CHECK(next.next.next_sequence == 0x80);
     const request_step answered = advance(next.next, {0x80, 0x10, 0}, at(20ms));
     CHECK(answered.answered_after == 19ms);
+    CHECK(answered.answered_bytes == 0x20);
     CHECK(advance(answered.next, {0xffffff80U, 0xfffffff0U, 0x100},
                   at(200ms)) == request_step{.next = answered.next});
     CHECK(advance(answered.next, {0x80, 0x10, 0}, at(210ms)) ==
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -79,6 +79,7 @@
     }
     view_ = std::move(view);
     observer_.retain_targets_of(*view_);
+    failing_.retain_targets_of(*view_);
     own_data_centre_.reset();
     const std::vector<std::string>& data_centre_names =
         view_->parts().data_centres;
@@ -151,6 +152,12 @@
     const service_id service = choose_service(packet, reference);
     const std::span<const candidate> candidates =
         candidates_for(service, flows_.find(packet.key), now);
+    if (settings_.judges_answers)
+    {
+        failing_.adjust_trust(candidates_,
+                              {*view_, service, reference.terms.idempotent},
+                              now, evidence_);
+    }
     const auto position = policy_->choose(candidates, random_);
     if (!position)
     {
@@ -169,6 +176,7 @@
     }
     const view_target& target = view_->parts().targets[selected.index];
     record_opening(packet, target, now);
+    failing_.opening_sent(target.id, now);
     const auto avoided = std::ranges::count(candidates, target_trust::avoided,
                                             &candidate::trust);
     return {.decision = to_target(target),
@@ -287,6 +295,10 @@
     }
     steering_result result{.decision = to_target(*target)};
     record_packet(packet, *target, now, result);
+    if (settings_.judges_answers && result.answered_bytes)
+    {
+        judge_answer(reference, *target, now, result);
+    }
     return result;
 }
 
@@ -324,6 +336,7 @@
         if (step.answered_after)
         {
             record_answer(*flow, *step.answered_after, result);
+            result.answered_bytes = step.answered_bytes;
         }
         flow->request = step.next;
     }
@@ -359,6 +372,19 @@
     observer_.exchange_finished(flow.target, elapsed);
 }
 
+void steerer::judge_answer(const view_reference& reference,
+                           const view_target& target, instant now,
+                           const steering_result& result)
+{
+    const answer_source source{reference.address, target.service};
+    const answer_verdict verdict =
+        answers_.judge(source, *result.answered_bytes);
+    answers_.record(source, *result.answered_bytes, verdict,
+                    failing_.is_avoided(target), now);
+    failing_.record_answer(target, verdict, now - *result.exchange_duration,
+                           now, evidence_);
+}
+
 void steerer::record_flow_end(tracked_flow& flow, const flow_packet& packet,
                               instant now, steering_result& result)
 {
--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -16,6 +16,8 @@
 #include "catkinkeel/base/random.hpp"
 #include "catkinkeel/base/time.hpp"
 #include "catkinkeel/steering/admission.hpp"
+#include "catkinkeel/steering/answer_statistics.hpp"
+#include "catkinkeel/steering/failing_targets.hpp"
 #include "catkinkeel/steering/flow_tracker.hpp"
 #include "catkinkeel/steering/selection.hpp"
 #include "catkinkeel/steering/target_evidence.hpp"
@@ -148,6 +150,9 @@
     /// Time from the last data of a request to this packet, if it is the first
     /// to acknowledge a part of the answer.
     std::optional<duration> exchange_duration;
+    /// Bytes of the answer that this packet acknowledges, if it is the first to
+    /// acknowledge a part of it.
+    std::optional<std::uint32_t> answered_bytes;
 
     friend auto operator<=>(const steering_result&,
                             const steering_result&) = default;
@@ -229,6 +234,12 @@
     {
         return evidence_;
     }
+    /// The targets whose answers look like errors; none unless
+    /// `judges_answers`.
+    [[nodiscard]] failing_targets& failing()
+    {
+        return failing_;
+    }
     [[nodiscard]] std::size_t tracked_flows() const
     {
         return flows_.size();
@@ -252,6 +263,10 @@
                          instant now, steering_result& result);
     void record_answer(const tracked_flow& flow, duration elapsed,
                        steering_result& result);
+    /// Judges the answer of `target` that a packet acknowledges.
+    void judge_answer(const view_reference& reference,
+                      const view_target& target, instant now,
+                      const steering_result& result);
     void record_opening(const flow_packet& packet, const view_target& target,
                         instant now);
     [[nodiscard]] service_id
@@ -274,6 +289,8 @@
     std::optional<data_centre_id> own_data_centre_;
     target_observer observer_;
     evidence_pool evidence_;
+    answer_statistics answers_;
+    failing_targets failing_;
     flow_tracker flows_;
     std::vector<pending_opening> unsent_openings_;
 };
--- a/catkinkeel/steering/target_observer.hpp
+++ b/catkinkeel/steering/target_observer.hpp
@@ -42,14 +42,16 @@
                             const observer_settings&) = default;
 };
 
-/// Whether a target is expected to answer an opening packet. This is a passive
-/// health check: it is derived only from the flows of this daemon.
+/// Whether a target is expected to serve a new flow. This is a passive health
+/// check: it is derived from the flows of this daemon and, for answers that
+/// look like errors, from reports of other daemons (`failing_targets`).
 enum class target_trust : std::uint8_t
 {
     trusted,
-    /// Its last opening packet was not answered; the next one is a trial.
+    /// It failed before; the next opening packet is a trial.
     on_trial,
-    /// It failed to answer, and its retry is not yet due or still pending.
+    /// It failed to answer, or its answers look like errors, and its retry is
+    /// not yet due or still pending.
     avoided
 };
 
