--- a/catkinkeel/steering/request_progress.hpp
+++ b/catkinkeel/steering/request_progress.hpp
@@ -73,6 +73,9 @@
     /// Copies before this one that got no acknowledgement; 0 unless this packet
     /// repeats the last data.
     std::uint32_t unanswered_copies = 0;
+    /// Bytes of the answer that this packet acknowledges; 0 if
+    /// `answered_after` is empty.
+    std::uint32_t answered_bytes = 0;
 
     friend auto operator<=>(const request_step&, const request_step&) = default;
 };
--- a/catkinkeel/steering/silent_targets.cpp
+++ b/catkinkeel/steering/silent_targets.cpp
@@ -9,18 +9,9 @@
 namespace
 {
 
-/// Copies that peers report, with at most two for each of them. The summary has
-/// only their sum: if it exceeds the number of reporters, at least one of them
-/// reports two. Two reporters that report two each are thus counted as three
-/// copies, which with one copy of this daemon is enough as well.
-std::uint32_t capped_copies(const evidence_summary& peers)
-{
-    return std::min(peers.peer_count, peers.reporters + 1);
-}
-
 bool is_withdrawn(const silence_findings& findings)
 {
-    return findings.withdrawn;
+    return findings.other == alternative::alive && findings.withdrawn;
 }
 
 bool is_silent_to_flow(const silence_findings& findings)
@@ -37,7 +28,7 @@
 bool is_silent_to_peers(const silence_findings& findings)
 {
     return is_reported_silent(findings.peers) &&
-           capped_copies(findings.peers) + findings.own.target_copies >=
+           findings.peers.peer_count + findings.own.target_copies >=
                fatal_shared_copies;
 }
 
--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -16,7 +16,9 @@
 #include "catkinkeel/base/random.hpp"
 #include "catkinkeel/base/time.hpp"
 #include "catkinkeel/steering/admission.hpp"
+#include "catkinkeel/steering/answer_statistics.hpp"
 #include "catkinkeel/steering/cost_admission.hpp"
+#include "catkinkeel/steering/failing_targets.hpp"
 #include "catkinkeel/steering/flow_tracker.hpp"
 #include "catkinkeel/steering/selection.hpp"
 #include "catkinkeel/steering/silent_targets.hpp"
@@ -176,6 +178,9 @@
     std::optional<duration> exchange_duration;
     /// Set if the flow is reset because of its target's silence.
     std::optional<silence_details> silence;
+    /// Bytes of the answer that this packet acknowledges, if it is the first to
+    /// acknowledge a part of it.
+    std::optional<std::uint32_t> answered_bytes;
 
     friend auto operator<=>(const steering_result&,
                             const steering_result&) = default;
@@ -263,6 +268,12 @@
     {
         return cost_admission_;
     }
+    /// The targets whose answers look like errors; none unless
+    /// `judges_answers`.
+    [[nodiscard]] failing_targets& failing()
+    {
+        return failing_;
+    }
     [[nodiscard]] std::size_t tracked_flows() const
     {
         return flows_.size();
@@ -301,6 +312,10 @@
                          instant now, steering_result& result);
     void record_answer(const tracked_flow& flow, duration elapsed,
                        steering_result& result);
+    /// Judges the answer of `target` that a packet acknowledges.
+    void judge_answer(const view_reference& reference,
+                      const view_target& target, instant now,
+                      const steering_result& result);
     void record_opening(const flow_packet& packet, const view_target& target,
                         instant now);
     [[nodiscard]] service_id
@@ -325,6 +340,8 @@
     evidence_pool evidence_;
     silent_targets silence_;
     cost_admission cost_admission_;
+    answer_statistics answers_;
+    failing_targets failing_;
     flow_tracker flows_;
     std::vector<pending_opening> unsent_openings_;
 };
--- a/catkinkeel/steering/target_evidence.cpp
+++ b/catkinkeel/steering/target_evidence.cpp
@@ -178,6 +178,8 @@
         return;
     }
     evidence& known = found->second;
+    // Peers do not count a report any more that is not recent.
+    outgoing_.erase(key);
     if (known.own.count > 0 && is_recent(known.own.observed_at, now))
     {
         add_outgoing(key, {0, now});
