--- a/catkinkeel/steering/failing_targets.cpp
+++ b/catkinkeel/steering/failing_targets.cpp
@@ -29,9 +29,8 @@
 /// report the target.
 constexpr std::uint32_t min_observations = 2;
 /// If other targets send deficient answers in more than these shares, one
-/// observation more is required for each: at a share of 0.01 and 12 requests a
-/// second and target, two would hold 3 of 120 targets suspected without any
-/// fault.
+/// observation more is required for each: a share of 0.01 from all targets
+/// would otherwise hold twice as many targets suspected.
 constexpr double raised_share = 0.0025;
 constexpr double high_share = 0.01;
 
