Report silent targets only of data centres that answer

A daemon now reports a target's silence only if some target of the same data centre has shown a sign of life within the last second. A report that peers do not count any more is not sent after an observation to the contrary.

--- a/catkinkeel/steering/silent_targets.cpp
+++ b/catkinkeel/steering/silent_targets.cpp
@@ -11,7 +11,7 @@
 
 bool is_withdrawn(const silence_findings& findings)
 {
-    return findings.other == alternative::alive && findings.withdrawn;
+    return findings.withdrawn;
 }
 
 bool is_silent_to_flow(const silence_findings& findings)
@@ -118,9 +118,19 @@
     record.changed_at = now;
 }
 
-void silent_targets::record_sign_of_life(target_id target, instant now)
+void silent_targets::record_sign_of_life(target_id target,
+                                         data_centre_id data_centre,
+                                         instant now)
 {
     targets_[target] = {.alive_at = now, .changed_at = now};
+    data_centres_alive_at_[data_centre] = now;
+}
+
+bool silent_targets::is_reachable(data_centre_id data_centre, instant now) const
+{
+    const auto found = data_centres_alive_at_.find(data_centre);
+    return found != data_centres_alive_at_.end() &&
+           now - found->second <= max_reachability_age;
 }
 
 own_silence silent_targets::evidence_of(target_id target, const flow_key& flow,
--- a/catkinkeel/steering/silent_targets.hpp
+++ b/catkinkeel/steering/silent_targets.hpp
@@ -99,6 +99,10 @@
 /// 1.4 s and 3 s.
 inline constexpr duration max_silence_age = 3s;
 
+/// Time after which a sign of life no longer shows that a data centre can be
+/// reached. Daemons with the least traffic in use see 5 requests a second.
+inline constexpr duration max_reachability_age = 1s;
+
 /// Packets that are kept for each target; the oldest are dropped.
 inline constexpr std::size_t max_copies_of_target = 32;
 
@@ -129,7 +133,8 @@
 
     /// Records an acknowledgement of new bytes or a completed handshake. All
     /// evidence against the target is dropped.
-    void record_sign_of_life(target_id target, instant now);
+    void record_sign_of_life(target_id target, data_centre_id data_centre,
+                             instant now);
 
     [[nodiscard]] own_silence
     evidence_of(target_id target, const flow_key& flow, instant now) const;
@@ -138,6 +143,12 @@
     /// most `max_silence_age` ago.
     [[nodiscard]] bool is_alive_since(target_id target, instant since) const;
 
+    /// Whether a target of the data centre has shown a sign of life within
+    /// `max_reachability_age`, so that the silence of another one is not due to
+    /// the links of this daemon.
+    [[nodiscard]] bool is_reachable(data_centre_id data_centre,
+                                    instant now) const;
+
     /// Forgets targets of which nothing was recorded within
     /// `max_silence_age`. Does so at most once per `max_silence_age`.
     void discard_old(instant now);
@@ -161,6 +172,8 @@
     };
 
     std::unordered_map<target_id, target_record> targets_;
+    /// Last sign of life of any target.
+    std::unordered_map<data_centre_id, instant> data_centres_alive_at_;
     instant discarded_at_;
 };
 
--- a/catkinkeel/steering/silent_targets_test.cpp
+++ b/catkinkeel/steering/silent_targets_test.cpp
@@ -119,6 +119,7 @@
     // Guards against callers that learn of a known failure too late to be
     // served elsewhere within 400 ms.
     silence_fixture site;
+    site.live_answers(at(0s));
     SECTION("the target was withdrawn, which draining is not")
     {
         site.request(1, at(0s));
@@ -202,6 +203,24 @@
     CHECK(disabled.steering().evidence().take_outgoing().empty());
 }
 
+TEST_CASE(
+    "a daemon reports silent targets only of data centres that it reaches")
+{
+    // Guards against daemons on one side of a partition that make those on the
+    // other side distrust targets which live.
+    silence_fixture site;
+    const auto reported = [&](instant begin)
+    {
+        site.request(1, begin);
+        site.request(1, begin + 200ms);
+        return !site.steering().evidence().take_outgoing().empty();
+    };
+    CHECK_FALSE(reported(at(0s)));
+    site.live_answers(at(3s));
+    CHECK(reported(at(3100ms)));
+    CHECK_FALSE(reported(at(4500ms)));
+}
+
 TEST_CASE("copies that this daemon handled late or did not forward do not "
           "count")
 {
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -355,7 +355,7 @@
                      : advance(flow->request, packet.segment, now);
     if ((first_packet && flow != nullptr) || step.acknowledges)
     {
-        silence_.record_sign_of_life(target.id, now);
+        silence_.record_sign_of_life(target.id, target.data_centre, now);
         evidence_.clear_own(target, evidence_kind::silence, now);
     }
     if (!step.is_copy || packet.finishes || packet.aborts)
@@ -435,7 +435,9 @@
 {
     const own_silence own = silence_.evidence_of(target.id, flow, now);
     const std::uint32_t count = own.target_copies + own.openings;
-    if (count > 0)
+    // A daemon that is cut off from a data centre must not make others, which
+    // can reach it, distrust its targets.
+    if (count > 0 && silence_.is_reachable(target.data_centre, now))
     {
         evidence_.record_own(target, evidence_kind::silence, count, now);
     }
