Admit openings by cost only where the settings ask for it

steerer_settings::admits_by_cost is false by default and follows the contract, as the other parts do. Test: "openings are held back by cost only if the settings say so"; it fails without the condition.

--- a/catkinkeel/steering/cost_admission_test.cpp
+++ b/catkinkeel/steering/cost_admission_test.cpp
@@ -525,7 +525,7 @@
                    {configuration_published{configuration},
                     target_announced{sample_target("t", "orderdesk", "a", 9)}}},
                   at(0s));
-    steerer steering({.data_centre = "a"},
+    steerer steering({.data_centre = "a", .admits_by_cost = true},
                      std::make_shared<least_cost_policy>(selection_weights{}),
                      random_source(1));
     steering.replace_view(
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -97,7 +97,10 @@
     }
     view_ = std::move(view);
     observer_.retain_targets_of(*view_);
-    cost_admission_.replace_view(*view_);
+    if (settings_.admits_by_cost)
+    {
+        cost_admission_.replace_view(*view_);
+    }
     failing_.retain_targets_of(*view_);
     own_data_centre_.reset();
     const std::vector<std::string>& data_centre_names =
--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -211,6 +211,8 @@
     tracker_settings tracker;
     /// Give fewer new flows to targets whose answers look like errors.
     bool judges_answers = false;
+    /// Admit openings by `cost_admission`; otherwise by `admission` alone.
+    bool admits_by_cost = false;
     /// Reset flows of dead targets whose requests callers may repeat.
     bool releases_flows = false;
 
--- a/catkinkeel/steering/steerer_test.cpp
+++ b/catkinkeel/steering/steerer_test.cpp
@@ -446,3 +446,30 @@
     const forward opened = fixture.open(1, at(1s));
     CHECK(fixture.open(1, at(1001ms), 1).target == opened.target);
 }
+
+TEST_CASE("openings are held back by cost only if the settings say so")
+{
+    // Guards against new decisions where the settings do not call for them.
+    catalog entries(catalog_settings{});
+    published_configuration configuration =
+        sample_configuration(1, {{443, "orderdesk"}, {444, "orderdesk"}});
+    configuration.references[0].terms = {false, 0, 400ms, 4s};
+    configuration.references[1].terms = {true, 2, 400ms, 4s};
+    entries.apply({false, 1, {configuration_published{configuration}}}, at(0s));
+    for (const bool enabled : {false, true})
+    {
+        steerer steering(
+            {.data_centre = "a", .admits_by_cost = enabled},
+            std::make_shared<least_cost_policy>(selection_weights{}),
+            random_source(1));
+        steering.replace_view(
+            std::make_shared<const steering_view>(entries.make_view()));
+        cost_admission& admission = steering.admission_by_cost();
+        for (int i = 0; i < 200; ++i)
+        {
+            admission.record_exchange({0}, address(1, i % 2 == 0 ? 443 : 444),
+                                      i < 100 ? 40ms : 390ms, at(i * 50ms));
+        }
+        CHECK(admission.take_changes().empty() == !enabled);
+    }
+}
