Do not hold back openings that were forwarded before

Cause: a retransmission of an opening that this daemon had forwarded was refused as held_back or out_of_time, which tells the caller that its request did not run, although the target may have got the first copy.

Such a retransmission is now subject to the in-flight limit only.

Test: "a steerer holds back and refuses by the exchanges of its flows" failed before with held_back.

--- a/catkinkeel/steering/cost_admission.cpp
+++ b/catkinkeel/steering/cost_admission.cpp
@@ -377,13 +377,14 @@
     const duration timeout = reference->terms.timeout;
     const duration expected =
         time_passed(opening.retransmission) + work + service->wait;
-    if (timeout > duration::zero() && expected > timeout)
+    if (!opening.forwarded_before && timeout > duration::zero() &&
+        expected > timeout)
     {
         return admission::out_of_time;
     }
     const double share = admitted_share(service->level, *reference->rank,
                                         service->ranked, settings_.min_share);
-    if (share < 1 && random.unit() >= share)
+    if (!opening.forwarded_before && share < 1 && random.unit() >= share)
     {
         // A dropped opening would be answered late after its repeat, and take
         // the place of one that can be answered in time.
--- a/catkinkeel/steering/cost_admission.hpp
+++ b/catkinkeel/steering/cost_admission.hpp
@@ -161,6 +161,9 @@
     /// Address of the reference.
     endpoint reference;
     std::uint32_t retransmission = 0;
+    /// Whether an earlier copy was forwarded. Its target may have got it, so
+    /// this copy is not refused as one that never ran.
+    bool forwarded_before = false;
 
     friend auto operator<=>(const service_opening&,
                             const service_opening&) = default;
--- a/catkinkeel/steering/cost_admission_test.cpp
+++ b/catkinkeel/steering/cost_admission_test.cpp
@@ -556,6 +556,7 @@
         exchange(i % 2 == 0 ? urgent_port : routine_port, at(i * 20ms), 40ms);
     }
     CHECK(std::holds_alternative<forward>(open(routine_port, at(1300ms))));
+    const std::uint16_t forwarded = port;
     for (int i = 0; i < 60; ++i)
     {
         exchange(urgent_port, at(2s + i * 50ms), 400ms);
@@ -564,6 +565,16 @@
     REQUIRE(changes.size() == 1);
     CHECK(changes[0].level < 1);
     CHECK(changes[0].wait > 180ms); // half of what 400 ms leave after 40 ms
+    // Guards against telling a caller that its request did not run although a
+    // target may have got an earlier copy of the opening.
+    CHECK_FALSE(
+        steering
+            .decide(
+                {.key = {{{0x64400007}, forwarded}, address(1, routine_port)},
+                 .opens = true,
+                 .retransmission = 1},
+                at(5400ms))
+            .decision == steering_decision(refuse{refusal_reason::held_back}));
     int held_back = 0;
     for (int i = 0; i < 100; ++i)
     {
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -172,8 +172,9 @@
                                        instant now)
 {
     const service_id service = choose_service(packet, reference);
+    const tracked_flow* tracked = flows_.find(packet.key);
     const std::span<const candidate> candidates =
-        candidates_for(service, flows_.find(packet.key), now);
+        candidates_for(service, tracked, now);
     if (settings_.judges_answers)
     {
         failing_.adjust_trust(candidates_,
@@ -187,8 +188,11 @@
     }
     const candidate& selected = candidates[*position];
     const admission verdict = cost_admission_.decide(
-        {service, reference.address, packet.retransmission}, selected, random_,
-        now);
+        {.service = service,
+         .reference = reference.address,
+         .retransmission = packet.retransmission,
+         .forwarded_before = packet.retransmission > 0 && tracked != nullptr},
+        selected, random_, now);
     if (verdict != admission::start)
     {
         return {.decision = decision_on(verdict)};
