Leave answers without work out of the first estimate of work

Cause: the first estimate was the median of 20 exchanges. If more than half of them were short answers of targets that shed load, it was that of these (4 ms in the test) and rose by 6 % a minute only: half an hour from 4 ms to 30 ms by calculation. In this time the reference appeared to be far denser than it was, and others of more value were held back for it. Exchanges of no time, whose packets were processed in one batch, could even make an estimate of zero, which never rises.

The median is now that of the exchanges that are not short beside the longest ones, and exchanges of no time do not count.

Test: "the first estimate of work ignores answers that show no work" failed before with 0 and 4 ms.

--- a/catkinkeel/steering/cost_admission.cpp
+++ b/catkinkeel/steering/cost_admission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <map>
 #include <utility>
 
@@ -25,6 +26,20 @@
 /// Time from an opening packet to its retransmissions, by number.
 constexpr std::array times_passed{0ms, 200ms, 600ms};
 
+/// The median of the exchanges that are not too short. A daemon that starts in
+/// overload sees many short answers of targets that shed load, and an estimate
+/// made of these would rise too slowly.
+double
+first_estimate(std::array<float, typical_work::initial_exchanges> exchanges)
+{
+    std::ranges::sort(exchanges);
+    // Up to nine tenths of the exchanges may be short.
+    const double high = exchanges.at(exchanges.size() * 9 / 10);
+    const auto* first =
+        std::ranges::lower_bound(exchanges, high * too_short, std::less{});
+    return *(first + (exchanges.end() - first) / 2);
+}
+
 duration from_seconds(double seconds)
 {
     return std::chrono::duration_cast<duration>(
@@ -86,6 +101,11 @@
 
 typical_work typical_work::with(duration exchange, instant now) const
 {
+    if (exchange <= duration::zero())
+    {
+        // Packets of one batch have the same time, which shows no work.
+        return *this;
+    }
     typical_work next = *this;
     const double seconds = in_seconds(exchange);
     next.updated_at_ = now;
@@ -94,11 +114,7 @@
         next.first_seconds_.at(next.exchanges_++) = static_cast<float>(seconds);
         if (next.exchanges_ == initial_exchanges)
         {
-            // The median, since a daemon that starts in overload sees many
-            // short answers of targets that shed load.
-            auto sorted = next.first_seconds_;
-            std::ranges::sort(sorted);
-            next.percentile_seconds_ = sorted.at(initial_exchanges / 2);
+            next.percentile_seconds_ = first_estimate(next.first_seconds_);
             next.seconds_ = next.percentile_seconds_;
         }
         return next;
--- a/catkinkeel/steering/cost_admission_test.cpp
+++ b/catkinkeel/steering/cost_admission_test.cpp
@@ -630,6 +630,23 @@
     CHECK(*work.value() > 30ms);
 }
 
+TEST_CASE("the first estimate of work ignores answers that show no work")
+{
+    // Guards against an estimate that is far too low: it rises by 6 % a minute
+    // at most, so the reference would for long appear to be the densest one and
+    // others of more value would be held back for it.
+    const duration no_work = GENERATE(0ms, 4ms);
+    typical_work work;
+    for (int i = 0; i < 50; ++i)
+    {
+        // More than half of the targets shed load, or packets waited for the
+        // daemon and were processed in one batch.
+        work = work.with(i % 5 < 2 ? 60ms : no_work, at(i * 50ms));
+    }
+    REQUIRE(work.value());
+    CHECK(*work.value() > 50ms);
+}
+
 TEST_CASE("the wait works with 5 exchanges a second, a batch and slow targets")
 {
     // Guards against a wait that is that of the last exchange, or of a few slow
