--- a/catkinkeel/steering/cost_admission.hpp
+++ b/catkinkeel/steering/cost_admission.hpp
@@ -161,6 +161,9 @@
     /// Address of the reference.
     endpoint reference;
     std::uint32_t retransmission = 0;
+    /// Whether an earlier copy was forwarded. Its target may have got it, so
+    /// this copy is not refused as one that never ran.
+    bool forwarded_before = false;
 
     friend auto operator<=>(const service_opening&,
                             const service_opening&) = default;
@@ -236,6 +239,8 @@
         recent_waits waits;
         /// Their percentile at the last update.
         duration wait{};
+        /// The shortest of them: what certainly cannot be served is refused.
+        duration shortest_wait{};
         instant next_update;
         double level = 1;
         bool was_reduced = false;
--- a/catkinkeel/steering/cost_admission_test.cpp
+++ b/catkinkeel/steering/cost_admission_test.cpp
@@ -556,6 +556,7 @@
         exchange(i % 2 == 0 ? urgent_port : routine_port, at(i * 20ms), 40ms);
     }
     CHECK(std::holds_alternative<forward>(open(routine_port, at(1300ms))));
+    const std::uint16_t forwarded = port;
     for (int i = 0; i < 60; ++i)
     {
         exchange(urgent_port, at(2s + i * 50ms), 400ms);
@@ -564,6 +565,16 @@
     REQUIRE(changes.size() == 1);
     CHECK(changes[0].level < 1);
     CHECK(changes[0].wait > 180ms); // half of what 400 ms leave after 40 ms
+    // Guards against telling a caller that its request did not run although a
+    // target may have got an earlier copy of the opening.
+    CHECK_FALSE(
+        steering
+            .decide(
+                {.key = {{{0x64400007}, forwarded}, address(1, routine_port)},
+                 .opens = true,
+                 .retransmission = 1},
+                at(5400ms))
+            .decision == steering_decision(refuse{refusal_reason::held_back}));
     int held_back = 0;
     for (int i = 0; i < 100; ++i)
     {
@@ -619,6 +630,23 @@
     CHECK(*work.value() > 30ms);
 }
 
+TEST_CASE("the first estimate of work ignores answers that show no work")
+{
+    // Guards against an estimate that is far too low: it rises by 6 % a minute
+    // at most, so the reference would for long appear to be the densest one and
+    // others of more value would be held back for it.
+    const duration no_work = GENERATE(0ms, 4ms);
+    typical_work work;
+    for (int i = 0; i < 50; ++i)
+    {
+        // More than half of the targets shed load, or packets waited for the
+        // daemon and were processed in one batch.
+        work = work.with(i % 5 < 2 ? 60ms : no_work, at(i * 50ms));
+    }
+    REQUIRE(work.value());
+    CHECK(*work.value() > 50ms);
+}
+
 TEST_CASE("the wait works with 5 exchanges a second, a batch and slow targets")
 {
     // Guards against a wait that is that of the last exchange, or of a few slow
@@ -664,3 +692,25 @@
     CHECK(limits_for(500ms, 400ms, {}, {}).max_load_original == 1);
     CHECK(limits_for(50ms, 0ms, {}, {}) == admission_limits{});
 }
+
+TEST_CASE("an opening that a part of the targets can serve is not out of time")
+{
+    // Guards against refusing all openings because most targets are too slow.
+    cost_admission control({}, {});
+    published_configuration configuration =
+        sample_configuration(1, {{1, "orderdesk"}, {2, "orderdesk"}});
+    configuration.references[0].terms = {true, 0, 400ms, 3s};
+    configuration.references[1].terms = {true, 1, 400ms, 3s};
+    catalog entries(catalog_settings{});
+    entries.apply({false, 1, {configuration_published{configuration}}}, at(0s));
+    control.replace_view(entries.make_view());
+    random_source random(1);
+    for (int i = 0; i < 300; ++i)
+    {
+        const bool slow = i >= 100 && i % 3 != 0;
+        control.record_exchange({0}, address(1, 1 + i % 2),
+                                slow ? 3200ms : 50ms, at(i * 20ms));
+    }
+    CHECK(control.decide({{0}, address(1, 1)}, {.slots = 2}, random, at(6s)) ==
+          admission::start);
+}
