Count only copies of a flow that were lost in a row for rule same_flow

Cause: the rule counted unanswered copies of a flow over different data of the same flow. If A1 is lost, A2 arrives and the first two copies of the next data are lost, these are three, although no more than two in a row were lost.

A copy of the flow that may have been answered now starts the count anew.

Test: "copies of different data of a flow are lost in a row only if none in between may have arrived" failed before (reset after 600 ms of the second data) and passes; the other tests of steering pass.

--- a/catkinkeel/steering/silent_targets.cpp
+++ b/catkinkeel/steering/silent_targets.cpp
@@ -152,6 +152,10 @@
         if (!each.unanswered || now - each.sent_at > max_silence_age)
         {
             run = 0;
+            if (each.flow == flow)
+            {
+                evidence.flow_copies = 0;
+            }
             continue;
         }
         run_of_one_flow =
--- a/catkinkeel/steering/silent_targets.hpp
+++ b/catkinkeel/steering/silent_targets.hpp
@@ -32,8 +32,10 @@
 /// `max_silence_age`. A copy is one transmission of a caller's data.
 struct own_silence
 {
-    /// Unanswered copies of the flow in question, and of all flows.
+    /// Unanswered copies of the flow in question since its last copy that may
+    /// have been answered.
     std::uint32_t flow_copies = 0;
+    /// Unanswered copies of all flows.
     std::uint32_t target_copies = 0;
     /// Whether `fatal_copies` copies of at least two flows, sent to the target
     /// one directly after the other, were not answered.
@@ -74,7 +76,7 @@
 {
     /// The store has removed the target.
     withdrawn,
-    /// `fatal_copies` copies of the flow were not answered.
+    /// `fatal_copies` copies of the flow in a row were not answered.
     same_flow,
     /// `own_silence::several_flows`.
     several_flows,
--- a/catkinkeel/steering/silent_targets_test.cpp
+++ b/catkinkeel/steering/silent_targets_test.cpp
@@ -262,6 +262,22 @@
     CHECK(own == own_silence{.flow_copies = 1, .target_copies = 3});
 }
 
+TEST_CASE("copies of different data of a flow are lost in a row only if none "
+          "in between may have arrived")
+{
+    // Guards against the reset of a living target's flow: A1 is lost, A2
+    // arrives, and of the next data two copies in a row are lost.
+    silence_fixture site;
+    site.send(1, {1, 50, 200}, at(0ms));
+    site.send(1, {1, 50, 200}, at(200ms));
+    site.live_answers(at(300ms));
+    for (const duration sent : {300ms, 500ms, 900ms})
+    {
+        CHECK_FALSE(site.send(1, {201, 50, 200}, at(sent)).silence);
+    }
+    CHECK(site.send(1, {201, 50, 200}, at(1700ms)).silence);
+}
+
 namespace
 {
 
