Let packets of flows recorded at another target interrupt rows of copies

Cause: a packet to a target whose flow is recorded at another target (the port of a former flow) was forwarded but not recorded.

Test: "a packet whose flow is recorded at another target interrupts a row of lost copies" failed before (rule several_flows) and passes; the other tests of steering pass.

--- a/catkinkeel/steering/silent_targets_test.cpp
+++ b/catkinkeel/steering/silent_targets_test.cpp
@@ -278,6 +278,24 @@
     CHECK(site.send(1, {201, 50, 200}, at(1700ms)).silence);
 }
 
+TEST_CASE("a packet whose flow is recorded at another target interrupts a row "
+          "of lost copies")
+{
+    // Guards against the reset of a living target's flow: the packet between
+    // the copies may have arrived, so only two in a row were lost.
+    silence_fixture site;
+    site.request(1, at(0ms));
+    site.send(3, {1, 50, 200}, at(0ms), "live");
+    site.send(3, {1, 50, 200}, at(1ms));
+    site.request(2, at(2ms));
+    site.request(4, at(3ms));
+    site.live_answers(at(50ms));
+    for (const std::uint16_t port : {1, 2, 4})
+    {
+        CHECK_FALSE(site.request(port, at(210ms)));
+    }
+}
+
 namespace
 {
 
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -348,6 +348,7 @@
     if (!first_packet && flow->target != target.id)
     {
         // The record is of a former flow of the caller's port.
+        silence_.record_other_packet(target.id, now);
         return std::nullopt;
     }
     const request_step step =
