Do not take probes of one byte for copies of data

Cause: some callers probe an idle flow by repeating its last byte (RFC 1122, 4.2.3.6), or a full window by one byte. Repeats of one byte counted as unanswered copies.

Repeats of one byte do not count any more.

Test: "probes of one byte are no copies" failed before (reset and a report of silence) and passes; the other tests of steering pass.

--- a/catkinkeel/steering/request_progress.cpp
+++ b/catkinkeel/steering/request_progress.cpp
@@ -6,6 +6,10 @@
 namespace
 {
 
+/// Callers may probe an idle flow or a full window with up to one byte (RFC
+/// 1122, 4.2.3.6), which a target that lives need not acknowledge as new data.
+constexpr std::uint32_t max_probe_bytes = 1;
+
 /// Whether sequence number `a` is after `b`, less than half of the number space
 /// away.
 bool is_after(std::uint32_t a, std::uint32_t b)
@@ -65,8 +69,8 @@
         step.next.last_copy_at = now;
         step.is_copy = true;
     }
-    else if (segment.data_bytes > 0 && end == progress.next_sequence &&
-             step.next.in_progress &&
+    else if (segment.data_bytes > max_probe_bytes &&
+             end == progress.next_sequence && step.next.in_progress &&
              segment.acknowledged == progress.acknowledged)
     {
         record_repeat(step, progress, now);
--- a/catkinkeel/steering/request_progress.hpp
+++ b/catkinkeel/steering/request_progress.hpp
@@ -44,7 +44,8 @@
     std::uint32_t acknowledged = 0;
     /// Copies of the last data that were seen since it was new and since the
     /// last acknowledgement, each at least `min_copy_interval` after the one
-    /// before; 0 if the last data was not seen.
+    /// before; 0 if the last data was not seen. Repeats of one byte are no
+    /// copies, since they may be probes.
     std::uint32_t copies = 0;
     /// When the last data was last seen.
     instant last_copy_at;
--- a/catkinkeel/steering/silent_targets_test.cpp
+++ b/catkinkeel/steering/silent_targets_test.cpp
@@ -296,6 +296,20 @@
     }
 }
 
+TEST_CASE("probes of one byte are no copies")
+{
+    // Guards against the reset of a living target's flow: callers may probe an
+    // idle flow by repeating its last byte while the answer takes long.
+    silence_fixture site;
+    site.request(1, at(0s));
+    site.live_answers(at(100ms));
+    for (const duration sent : {700ms, 1400ms, 2100ms, 2800ms})
+    {
+        CHECK_FALSE(site.send(1, {200, 50, 1}, at(sent)).silence);
+    }
+    CHECK(site.steering().evidence().take_outgoing().empty());
+}
+
 namespace
 {
 
