Take only answers to later requests as proof that a daemon's links work

Cause: rules same_flow and several_flows need a sign of life of another target since the first copy was sent, so that a daemon whose links are cut resets no flows of living targets. But answers do not pass the daemon: for some time after its links are cut, callers still acknowledge answers to requests that were forwarded before, also long after if an answer is large. These counted as signs of life, so flows begun just after the cut were reset at 200 ms (several_flows) or 1.4 s (same_flow).

A sign of life now carries when the packet that it answers was forwarded, and another target counts as alive only if it has answered a packet forwarded since the first copy. Evidence is dropped by any sign of life, as before. A daemon with few requests resets some flows later for it (not measured).

Test: "answers to requests sent before the first copy do not show that the links of the daemon work" failed before (three resets) and passes. The fixture's live_answers sent no new data after its first call, so these were no answers to requests; now each is. The other tests of steering pass.

--- a/catkinkeel/steering/silent_targets.cpp
+++ b/catkinkeel/steering/silent_targets.cpp
@@ -120,9 +120,13 @@
 
 void silent_targets::record_sign_of_life(target_id target,
                                          data_centre_id data_centre,
+                                         const std::optional<instant>& sent_at,
                                          instant now)
 {
-    targets_[target] = {.alive_at = now, .changed_at = now};
+    target_record& record = targets_[target];
+    // An empty value is less than any time.
+    record = {.answered_sent_at = std::max(record.answered_sent_at, sent_at),
+              .changed_at = now};
     data_centres_alive_at_[data_centre] = now;
 }
 
@@ -176,8 +180,7 @@
 bool silent_targets::is_alive_since(target_id target, instant since) const
 {
     const auto found = targets_.find(target);
-    return found != targets_.end() && found->second.alive_at &&
-           *found->second.alive_at >= since;
+    return found != targets_.end() && found->second.answered_sent_at >= since;
 }
 
 void silent_targets::discard_old(instant now)
--- a/catkinkeel/steering/silent_targets.hpp
+++ b/catkinkeel/steering/silent_targets.hpp
@@ -52,8 +52,8 @@
     none,
     /// Another target of its services is trusted.
     trusted,
-    /// And has shown a sign of life since the first copy was sent, so the links
-    /// of this daemon are not the cause of the silence.
+    /// And has answered what this daemon forwarded since the first copy was
+    /// sent, so the links of this daemon are not the cause of the silence.
     alive
 };
 
@@ -134,15 +134,19 @@
     void record_unanswered_opening(target_id target, instant now);
 
     /// Records an acknowledgement of new bytes or a completed handshake. All
-    /// evidence against the target is dropped.
+    /// evidence against the target is dropped. `sent_at` is when the packet
+    /// that it answers was forwarded; empty if that is not known.
     void record_sign_of_life(target_id target, data_centre_id data_centre,
+                             const std::optional<instant>& sent_at,
                              instant now);
 
     [[nodiscard]] own_silence
     evidence_of(target_id target, const flow_key& flow, instant now) const;
 
-    /// Whether a sign of life was recorded at or after `since`, which is at
-    /// most `max_silence_age` ago.
+    /// Whether the target has answered a packet that was forwarded at or after
+    /// `since`, which is at most `max_silence_age` ago. Answers to earlier
+    /// packets do not count: they do not pass this daemon, so they arrive also
+    /// if its links to the target are cut.
     [[nodiscard]] bool is_alive_since(target_id target, instant since) const;
 
     /// Whether a target of the data centre has shown a sign of life within
@@ -169,7 +173,8 @@
         /// In the order in which they were sent.
         std::vector<sent_copy> copies;
         std::uint32_t openings = 0;
-        std::optional<instant> alive_at;
+        /// When the last packet that was answered was forwarded.
+        std::optional<instant> answered_sent_at;
         instant changed_at;
     };
 
--- a/catkinkeel/steering/silent_targets_test.cpp
+++ b/catkinkeel/steering/silent_targets_test.cpp
@@ -57,13 +57,12 @@
         return std::get<forward>(result.decision).token;
     }
 
-    /// A caller of "live" acknowledges new bytes.
+    /// "live" answers a request at once.
     void live_answers(instant now)
     {
-        for (const std::uint32_t data_bytes : {1, 0})
-        {
-            send(9, {1, ++acknowledged_, data_bytes}, now, "live");
-        }
+        ++answers_;
+        send(9, {answers_, answers_, 1}, now, "live");
+        send(9, {answers_ + 1, answers_ + 1, 0}, now, "live");
     }
 
     /// The rule by which the flow is reset when its caller sends its data.
@@ -92,7 +91,7 @@
     catalog catalog_;
     steerer steerer_;
     std::uint64_t revision_ = 0;
-    std::uint32_t acknowledged_ = 0;
+    std::uint32_t answers_ = 0;
 };
 
 } // namespace
@@ -262,6 +261,29 @@
     CHECK(own == own_silence{.flow_copies = 1, .target_copies = 3});
 }
 
+TEST_CASE("answers to requests sent before the first copy do not show that the "
+          "links of the daemon work")
+{
+    // Guards against the reset of living targets' flows by a daemon whose links
+    // to all targets have just been cut: answers still arrive from targets that
+    // got their requests before, since they do not pass this daemon.
+    silence_fixture site;
+    site.send(9, {1, 1, 100}, at(0ms), "live");
+    for (std::uint16_t port = 1; port <= 3; ++port)
+    {
+        site.request(port, at(port * 10ms));
+    }
+    site.send(9, {101, 2, 0}, at(60ms), "live");
+    site.send(9, {101, 3, 0}, at(180ms), "live");
+    for (const duration sent : {200ms, 600ms, 1400ms})
+    {
+        for (std::uint16_t port = 1; port <= 3; ++port)
+        {
+            CHECK_FALSE(site.request(port, at(sent + port * 10ms)));
+        }
+    }
+}
+
 TEST_CASE("copies of different data of a flow are lost in a row only if none "
           "in between may have arrived")
 {
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -356,7 +356,17 @@
                      : advance(flow->request, packet.segment, now);
     if ((first_packet && flow != nullptr) || step.acknowledges)
     {
-        silence_.record_sign_of_life(target.id, target.data_centre, now);
+        std::optional<instant> sent_at;
+        if (first_packet)
+        {
+            sent_at = flow->opened_at;
+        }
+        else if (step.answered_after)
+        {
+            sent_at = flow->request.sent_at;
+        }
+        silence_.record_sign_of_life(target.id, target.data_centre, sent_at,
+                                     now);
         evidence_.clear_own(target, evidence_kind::silence, now);
     }
     if (!step.is_copy || packet.finishes || packet.aborts)
