Let test packets with data carry more than one byte

Cause: packets of the test codec had one byte of data, and repeats of one byte are no copies any more since, so "the reset of a withdrawn target's flow is logged and counted" failed. Its checks are unchanged.

Test: it failed before and passes.

--- a/catkinkeel/edge/test_daemon.hpp
+++ b/catkinkeel/edge/test_daemon.hpp
@@ -124,7 +124,7 @@
         }
         steering::flow_packet facts{.key = {{{1}, 1}, {{2}, 443}}};
         facts.opens = packet.bytes[0] == std::byte{'o'};
-        facts.segment.data_bytes = packet.bytes[0] == std::byte{'q'} ? 1 : 0;
+        facts.segment.data_bytes = packet.bytes[0] == std::byte{'q'} ? 100 : 0;
         std::memcpy(&facts.token.value, packet.bytes.data() + 1, 4);
         return facts;
     }
