Report silence only with a proof that the data centre is reached

A report now needs an answer of the data centre to a packet forwarded since the last copy, or at most 300 ms before an opening, and three daemons must report silence instead of two. Test: "a daemon reports silent targets only of data centres that it reaches" fails on the code before.

--- a/catkinkeel/steering/silent_targets.cpp
+++ b/catkinkeel/steering/silent_targets.cpp
@@ -127,14 +127,15 @@
     // An empty value is less than any time.
     record = {.answered_sent_at = std::max(record.answered_sent_at, sent_at),
               .changed_at = now};
-    data_centres_alive_at_[data_centre] = now;
+    std::optional<instant>& answered = data_centres_answered_[data_centre];
+    answered = std::max(answered, sent_at);
 }
 
-bool silent_targets::is_reachable(data_centre_id data_centre, instant now) const
+bool silent_targets::is_reachable(data_centre_id data_centre,
+                                  instant since) const
 {
-    const auto found = data_centres_alive_at_.find(data_centre);
-    return found != data_centres_alive_at_.end() &&
-           now - found->second <= max_reachability_age;
+    const auto found = data_centres_answered_.find(data_centre);
+    return found != data_centres_answered_.end() && found->second >= since;
 }
 
 own_silence silent_targets::evidence_of(target_id target, const flow_key& flow,
--- a/catkinkeel/steering/silent_targets.hpp
+++ b/catkinkeel/steering/silent_targets.hpp
@@ -80,7 +80,7 @@
     same_flow,
     /// `own_silence::several_flows`.
     several_flows,
-    /// At least two peers report silence, and their copies and this daemon's
+    /// At least three peers report silence, and their copies and this daemon's
     /// are at least `fatal_shared_copies`.
     peers
 };
@@ -93,17 +93,19 @@
 inline constexpr std::uint32_t fatal_copies = 3;
 /// One more than one daemon needs, since peers may lose packets independently.
 inline constexpr std::uint32_t fatal_shared_copies = 4;
-/// Peers that have to report silence, so that the word of one peer alone
-/// changes nothing.
-inline constexpr std::uint32_t min_silence_reporters = 2;
+/// Peers that have to report silence. Peers whose links are cut may report
+/// targets that live until they notice it.
+inline constexpr std::uint32_t min_silence_reporters = 3;
 
 /// Copies older than this do not count. Callers repeat after 200 ms, 600 ms,
 /// 1.4 s and 3 s.
 inline constexpr duration max_silence_age = 3s;
 
-/// Time after which a sign of life no longer shows that a data centre can be
-/// reached. Daemons with the least traffic in use see 5 requests a second.
-inline constexpr duration max_reachability_age = 1s;
+/// An opening packet is overdue before another target can have answered a
+/// packet sent later, so an answer to one sent up to this time earlier shows
+/// that the data centre can be reached. Daemons in use see 5 to 25 requests a
+/// second.
+inline constexpr duration opening_proof_age = 300ms;
 
 /// Packets that are kept for each target; the oldest are dropped.
 inline constexpr std::size_t max_copies_of_target = 32;
@@ -149,11 +151,11 @@
     /// if its links to the target are cut.
     [[nodiscard]] bool is_alive_since(target_id target, instant since) const;
 
-    /// Whether a target of the data centre has shown a sign of life within
-    /// `max_reachability_age`, so that the silence of another one is not due to
-    /// the links of this daemon.
+    /// Whether a target of the data centre has answered a packet that was
+    /// forwarded at or after `since`, so that the silence of another one is not
+    /// due to the links of this daemon.
     [[nodiscard]] bool is_reachable(data_centre_id data_centre,
-                                    instant now) const;
+                                    instant since) const;
 
     /// Forgets targets of which nothing was recorded within
     /// `max_silence_age`. Does so at most once per `max_silence_age`.
@@ -179,8 +181,9 @@
     };
 
     std::unordered_map<target_id, target_record> targets_;
-    /// Last sign of life of any target.
-    std::unordered_map<data_centre_id, instant> data_centres_alive_at_;
+    /// When the last packet that any target answered was forwarded.
+    std::unordered_map<data_centre_id, std::optional<instant>>
+        data_centres_answered_;
     instant discarded_at_;
 };
 
--- a/catkinkeel/steering/silent_targets_test.cpp
+++ b/catkinkeel/steering/silent_targets_test.cpp
@@ -122,6 +122,7 @@
     SECTION("the target was withdrawn, which draining is not")
     {
         site.request(1, at(0s));
+        site.live_answers(at(100ms));
         auto draining = sample_target("dead", "feed", "a", 100);
         draining.state = announced_state::draining;
         site.apply({target_announced{draining}});
@@ -144,9 +145,10 @@
         site.send(1, {201, 51, 0}, at(250ms));
         CHECK_FALSE(site.request(4, at(440ms)));
     }
-    SECTION("two peers report silence")
+    SECTION("three peers report silence")
     {
         site.request(1, at(0s));
+        site.live_answers(at(100ms));
         const auto report = [&](std::uint32_t peer, std::uint32_t count)
         {
             site.steering().evidence().record_peer(
@@ -156,8 +158,9 @@
                 at(150ms));
         };
         report(50, 20);
+        report(51, 20);
         CHECK_FALSE(site.request(1, at(200ms)));
-        report(51, 1);
+        report(52, 1);
         CHECK(site.request(1, at(600ms)) == silence_rule::peers);
         for (std::uint16_t port = 20; port < 25; ++port)
         {
@@ -208,16 +211,20 @@
     // Guards against daemons on one side of a partition that make those on the
     // other side distrust targets which live.
     silence_fixture site;
-    const auto reported = [&](instant begin)
+    const auto reported = [&](std::uint16_t port, instant begin)
     {
-        site.request(1, begin);
-        site.request(1, begin + 200ms);
+        site.request(port, begin);
+        site.request(port, begin + 200ms);
         return !site.steering().evidence().take_outgoing().empty();
     };
-    CHECK_FALSE(reported(at(0s)));
+    CHECK_FALSE(reported(1, at(0s)));
+    // Answered before the links may have been cut.
     site.live_answers(at(3s));
-    CHECK(reported(at(3100ms)));
-    CHECK_FALSE(reported(at(4500ms)));
+    CHECK_FALSE(reported(2, at(3100ms)));
+    site.request(3, at(5s));
+    site.live_answers(at(5100ms));
+    site.request(3, at(5200ms));
+    CHECK(site.steering().evidence().take_outgoing().size() == 1);
 }
 
 TEST_CASE("copies that this daemon handled late or did not forward do not "
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -387,7 +387,7 @@
     if (step.unanswered_copies > 0)
     {
         silence_.record_unanswered(target.id, packet.key);
-        report_own_silence(target, packet.key, now);
+        report_own_silence(target, packet.key, flow->request.last_copy_at, now);
         if (reference.terms.idempotent)
         {
             const own_silence own =
@@ -449,13 +449,12 @@
 }
 
 void steerer::report_own_silence(const view_target& target,
-                                 const flow_key& flow, instant now)
+                                 const flow_key& flow, instant proof_since,
+                                 instant now)
 {
     const own_silence own = silence_.evidence_of(target.id, flow, now);
     const std::uint32_t count = own.target_copies + own.openings;
-    // A daemon that is cut off from a data centre must not make others, which
-    // can reach it, distrust its targets.
-    if (count > 0 && silence_.is_reachable(target.data_centre, now))
+    if (count > 0 && silence_.is_reachable(target.data_centre, proof_since))
     {
         evidence_.record_own(target, evidence_kind::silence, count, now);
     }
@@ -593,7 +592,9 @@
             if (settings_.releases_flows)
             {
                 silence_.record_unanswered_opening(target->id, processed_until);
-                report_own_silence(*target, opening.key, processed_until);
+                report_own_silence(*target, opening.key,
+                                   opening.sent_at - opening_proof_age,
+                                   processed_until);
             }
         }
     }
--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -302,8 +302,12 @@
     [[nodiscard]] alternative find_alternative(const view_reference& reference,
                                                const view_target& silent,
                                                instant first_sent, instant now);
+    /// Records this daemon's evidence for its peers if another target of the
+    /// data centre has answered a packet forwarded since `proof_since`. A
+    /// daemon that is cut off must not make others distrust targets that they
+    /// reach.
     void report_own_silence(const view_target& target, const flow_key& flow,
-                            instant now);
+                            instant proof_since, instant now);
     /// Updates the record of an open flow by a packet to `target`.
     void record_packet(const flow_packet& packet, const view_target& target,
                        instant now, steering_result& result);
