Hold back openings when targets reject load

Test: "targets that reject load make a service hold back before the wait grows"; the code before has no such input.

--- a/catkinkeel/steering/cost_admission.cpp
+++ b/catkinkeel/steering/cost_admission.cpp
@@ -300,10 +300,26 @@
     }
     service->waits =
         service->waits.with(std::max(duration::zero(), elapsed - *work), now);
-    if (now >= service->next_update)
+    count_answer(*service, false, now);
+}
+
+void cost_admission::record_rejection(service_id service_of_flow, instant now)
+{
+    if (measured_service* service = find(service_of_flow))
+    {
+        count_answer(*service, true, now);
+    }
+}
+
+void cost_admission::count_answer(measured_service& service, bool rejected,
+                                  instant now)
+{
+    service.rejected_share +=
+        ((rejected ? 1 : 0) - service.rejected_share) * rejection_weight;
+    if (now >= service.next_update)
     {
-        service->next_update = now + settings_.update_period;
-        update(*service, now);
+        service.next_update = now + settings_.update_period;
+        update(service, now);
     }
 }
 
@@ -327,8 +343,12 @@
     }
     if (budget && service.exchanges >= typical_work::initial_exchanges)
     {
+        const bool rejects =
+            service.rejected_share > settings_.max_rejected_share;
+        // Targets with short queues shed load before the wait grows long.
         set_level(service,
-                  next_level(service.level, service.wait, *budget, settings_));
+                  next_level(service.level, rejects ? *budget : service.wait,
+                             *budget, settings_));
     }
 }
 
@@ -376,6 +396,7 @@
         service.waits = {};
         service.wait = {};
         service.shortest_wait = {};
+        service.rejected_share = 0;
         set_level(service, 1);
     }
 }
--- a/catkinkeel/steering/cost_admission.hpp
+++ b/catkinkeel/steering/cost_admission.hpp
@@ -52,6 +52,11 @@
     /// The level falls if the wait takes more than this part of the time that
     /// the strictest latency goal leaves, and rises otherwise.
     double max_used_budget = 0.5;
+    /// The level falls, whatever the wait is, if more than this part of the
+    /// answers are rejections. With three tries at this share, 0.1 % of the
+    /// callers are not served. Failing targets alone exceed it until they are
+    /// suspected.
+    double max_rejected_share = 0.1;
     /// Factor and summand of the level for each update. The level falls to a
     /// quarter within 1 s and rises to 1 again in 1 s. A slower rise (5 s)
     /// left capacity unused after a surge.
@@ -67,6 +72,10 @@
                             const cost_admission_settings&) = default;
 };
 
+/// Weight of an answer in the share of rejections. A daemon that sees 20
+/// answers a second notices an overload within a second.
+inline constexpr double rejection_weight = 1.0 / 16;
+
 /// Waits of the last exchanges of a service. Immutable.
 class recent_waits
 {
@@ -204,6 +213,10 @@
     void record_exchange(service_id service, const endpoint& reference,
                          duration elapsed, instant now);
 
+    /// Records an answer that looks like a rejection by a target that sheds
+    /// load.
+    void record_rejection(service_id service, instant now);
+
     /// Decides on an opening packet whose best candidate is `best`.
     [[nodiscard]] admission decide(const service_opening& opening,
                                    const candidate& best, random_source& random,
@@ -241,6 +254,8 @@
         duration wait{};
         /// The shortest of them: what certainly cannot be served is refused.
         duration shortest_wait{};
+        /// Moving average over the last answers.
+        double rejected_share = 0;
         instant next_update;
         double level = 1;
         bool was_reduced = false;
@@ -249,6 +264,7 @@
     };
 
     [[nodiscard]] measured_service* find(service_id service);
+    void count_answer(measured_service& service, bool rejected, instant now);
     void update(measured_service& service, instant now);
     void update_ranks(measured_service& service);
     void set_level(measured_service& service, double level);
--- a/catkinkeel/steering/cost_admission_test.cpp
+++ b/catkinkeel/steering/cost_admission_test.cpp
@@ -714,3 +714,44 @@
     CHECK(control.decide({{0}, address(1, 1)}, {.slots = 2}, random, at(6s)) ==
           admission::start);
 }
+
+TEST_CASE("targets that reject load make a service hold back before the wait "
+          "grows")
+{
+    // Guards against a surge of routine requests that makes targets with short
+    // queues reject urgent ones, while the answers that come are quick.
+    cost_admission control({}, {});
+    published_configuration configuration =
+        sample_configuration(1, {{1, "orderdesk"}, {2, "orderdesk"}});
+    configuration.references[0].terms = {false, 0, 400ms, 3s};
+    configuration.references[1].terms = {true, 1, 400ms, 3s};
+    catalog entries(catalog_settings{});
+    entries.apply({false, 1, {configuration_published{configuration}}}, at(0s));
+    control.replace_view(entries.make_view());
+    random_source random(1);
+    instant now = at(0s);
+    const auto held_back = [&](int rejected_of_20, std::uint16_t port)
+    {
+        for (int i = 0; i < 400; ++i)
+        {
+            now += 10ms;
+            if (i % 20 < rejected_of_20)
+            {
+                control.record_rejection({0}, now);
+                continue;
+            }
+            control.record_exchange({0}, address(1, 1 + i % 2), 50ms, now);
+        }
+        int count = 0;
+        for (int i = 0; i < 100; ++i)
+        {
+            count += control.decide({{0}, address(1, port)}, {.slots = 2},
+                                    random, now) == admission::hold_back;
+        }
+        return count;
+    };
+    CHECK(held_back(0, 2) == 0);
+    CHECK(held_back(8, 2) > 50);
+    CHECK(held_back(8, 1) == 0);
+    CHECK(held_back(0, 2) == 0);
+}
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -332,14 +332,17 @@
         return result;
     }
     record_packet(packet, *target, now, result);
-    if (result.exchange_duration)
+    const bool rejected = settings_.judges_answers && result.answered_bytes &&
+                          judge_answer(reference, *target, now, result) ==
+                              answer_verdict::deficient;
+    if (rejected)
     {
-        cost_admission_.record_exchange(target->service, reference.address,
-                                        *result.exchange_duration, now);
+        cost_admission_.record_rejection(target->service, now);
     }
-    if (settings_.judges_answers && result.answered_bytes)
+    else if (result.exchange_duration)
     {
-        judge_answer(reference, *target, now, result);
+        cost_admission_.record_exchange(target->service, reference.address,
+                                        *result.exchange_duration, now);
     }
     return result;
 }
@@ -530,9 +533,9 @@
     observer_.exchange_finished(flow.target, elapsed);
 }
 
-void steerer::judge_answer(const view_reference& reference,
-                           const view_target& target, instant now,
-                           const steering_result& result)
+answer_verdict steerer::judge_answer(const view_reference& reference,
+                                     const view_target& target, instant now,
+                                     const steering_result& result)
 {
     const answer_source source{reference.address, target.service};
     const answer_verdict verdict =
@@ -541,6 +544,7 @@
                     failing_.is_avoided(target), now);
     failing_.record_answer(target, verdict, now - *result.exchange_duration,
                            now, evidence_);
+    return verdict;
 }
 
 void steerer::record_flow_end(tracked_flow& flow, const flow_packet& packet,
--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -319,9 +319,9 @@
     void record_answer(const tracked_flow& flow, duration elapsed,
                        steering_result& result);
     /// Judges the answer of `target` that a packet acknowledges.
-    void judge_answer(const view_reference& reference,
-                      const view_target& target, instant now,
-                      const steering_result& result);
+    answer_verdict judge_answer(const view_reference& reference,
+                                const view_target& target, instant now,
+                                const steering_result& result);
     void record_opening(const flow_packet& packet, const view_target& target,
                         instant now);
     [[nodiscard]] service_id
