Soak failing and silent targets with the health parts enabled

Cause: the daemons of the soak ran without the contract health, callers sent no data, and no fault left a silent target listed, so evidence, resets and admission by cost were never soaked.

Change: the settings list the contract health; routes carry kind, priority, aim_ms and timeout_ms; requests and answers have sizes and acknowledgements. New faults: fail_answers, silence_target. New check: the caller of an idempotent request on an open flow of a target that has ended is told within 2 s while others live.

--- a/soak/backends.cpp
+++ b/soak/backends.cpp
@@ -19,6 +19,9 @@
 
 constexpr std::size_t identity_size = 8;
 constexpr std::uint32_t slots_per_target = 16;
+/// Typical sizes of an answer and of one with status 500.
+constexpr std::uint32_t answer_bytes = 840;
+constexpr std::uint32_t error_bytes = 208;
 
 std::string announcement_key(std::uint64_t identity)
 {
@@ -57,13 +60,15 @@
     }
     running_ = true;
     draining_ = false;
+    failing_ = false;
     announce();
 }
 
 void backend::crash()
 {
-    checker_.record_target_end(current_process());
+    checker_.record_target_end(current_process(), steady_now());
     running_ = false;
+    available_since_.reset();
     known_callers_.clear();
 }
 
@@ -86,11 +91,13 @@
         {"sequence", start_count_},
         {"born", 1767225600000 + start_count_}};
     store_.put(announcement_key(identity_), entry.dump());
+    available_since_ = draining_ ? std::nullopt : std::optional(steady_now());
 }
 
 void backend::withdraw()
 {
     store_.remove(announcement_key(identity_));
+    available_since_.reset();
 }
 
 void backend::receive()
@@ -144,9 +151,15 @@
         send_reply(packet, {.aborts = true});
         return;
     }
-    send_reply(packet, {.acknowledges = true,
-                        .finishes = packet.finishes || draining_,
-                        .acknowledged_sequence = packet.sequence});
+    if (packet.data_bytes > 0 || packet.finishes)
+    {
+        send_reply(packet, {.acknowledges = true,
+                            .finishes = packet.finishes || draining_,
+                            .acknowledged_sequence = packet.next_sequence(),
+                            .data_bytes = packet.finishes ? 0
+                                          : failing_      ? error_bytes
+                                                          : answer_bytes});
+    }
 }
 
 void backend::send_reply(const segment& request, segment reply)
--- a/soak/backends.hpp
+++ b/soak/backends.hpp
@@ -15,6 +15,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace catkinkeel::soak
@@ -38,6 +39,11 @@
     /// until `withdraw`.
     void crash();
     void drain();
+    /// Sets whether requests are answered with errors.
+    void set_failing(bool failing)
+    {
+        failing_ = failing;
+    }
     /// Removes the announcement from the store.
     void withdraw();
     /// Writes the announcement to the store.
@@ -51,6 +57,16 @@
     {
         return draining_;
     }
+    [[nodiscard]] std::uint32_t service_index() const
+    {
+        return service_index_;
+    }
+    /// Since when the target runs, is announced as ready and has not been
+    /// disturbed; empty if it does not.
+    [[nodiscard]] std::optional<instant> available_since() const
+    {
+        return available_since_;
+    }
     [[nodiscard]] target_process current_process() const
     {
         return {index_, start_count_};
@@ -74,6 +90,8 @@
     std::uint32_t service_index_;
     bool running_ = false;
     bool draining_ = false;
+    bool failing_ = false;
+    std::optional<instant> available_since_;
     /// Includes the callers of closed flows, whose last packet may be
     /// retransmitted.
     std::set<endpoint> known_callers_;
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -36,11 +36,19 @@
 constexpr std::uint32_t min_delivered_packets_to_report = 4;
 /// Longest time from a reply to the next packet of a flow.
 constexpr duration max_packet_delay = 1500ms;
+constexpr std::uint32_t request_bytes = 100;
 constexpr duration min_flow_duration = 500ms;
 /// Random addition to `min_flow_duration`.
 constexpr duration max_extra_flow_duration = 25s;
 constexpr std::uint16_t min_caller_port = 10000;
 
+const reference_terms& terms_of(const endpoint& reference)
+{
+    return terms_by_reference.at(
+        reference.address.value -
+        soak_plan::reference_endpoint(0).address.value);
+}
+
 /// Uniform in [0, `max_duration`).
 duration random_duration(random_source& random, duration max_duration)
 {
@@ -86,11 +94,13 @@
             return;
         }
         token_ = packet.token;
-        if (!target_ || packet.acknowledged_sequence != sequence_ ||
-            !awaiting_reply_)
+        if (!target_ || !awaiting_reply_ ||
+            packet.acknowledged_sequence != next_packet().next_sequence())
         {
             return;
         }
+        sequence_ = packet.acknowledged_sequence;
+        received_ += packet.data_bytes;
         awaiting_reply_ = false;
         if (closing_)
         {
@@ -99,14 +109,47 @@
             return;
         }
         closing_ = packet.finishes || steady_now() >= close_time_;
+        if (!closing_)
+        {
+            segment acknowledgement = next_packet();
+            acknowledgement.data_bytes = 0;
+            callers_.send(acknowledgement);
+        }
         schedule_next_packet(
             closing_ ? duration{}
                      : random_duration(callers_.random_, max_packet_delay));
     }
 
 private:
+    /// The packet whose reply is awaited, or the next one.
+    [[nodiscard]] segment next_packet() const
+    {
+        return {.source = caller_,
+                .destination = reference_,
+                .token = token_,
+                .acknowledges = true,
+                .finishes = closing_,
+                .sequence = sequence_,
+                .acknowledged_sequence = received_,
+                .data_bytes = closing_ ? 0 : request_bytes};
+    }
+
+    /// The caller learns that there is no answer.
+    void record_request_ended()
+    {
+        if (awaiting_reply_ && !closing_ && sole_daemon_ &&
+            terms_of(reference_).idempotent &&
+            // With few open flows, daemons can't tell whether others live.
+            !callers_.stopping_ && callers_.has_targets_since_(request_time_))
+        {
+            callers_.checker_.record_request_ended(
+                *sole_daemon_, caller_, *target_, request_time_, steady_now());
+        }
+    }
+
     void handle_reset(const segment& packet)
     {
+        record_request_ended();
         if (!target_)
         {
             callers_.checker_.record_flow_refused();
@@ -181,7 +224,7 @@
             {
                 if (!error && !self->ended_)
                 {
-                    ++self->sequence_;
+                    self->request_time_ = steady_now();
                     self->retransmissions_ = 0;
                     self->delivered_packets_ = 0;
                     self->awaiting_reply_ = true;
@@ -192,13 +235,16 @@
 
     void send_packet()
     {
-        const bool delivered = callers_.send({.source = caller_,
-                                              .destination = reference_,
-                                              .token = token_,
-                                              .acknowledges = true,
-                                              .finishes = closing_,
-                                              .sequence = sequence_});
-        delivered_packets_ += delivered ? 1U : 0U;
+        const auto daemon = callers_.send(next_packet());
+        delivered_packets_ += daemon ? 1U : 0U;
+        if (retransmissions_ == 0)
+        {
+            sole_daemon_ = daemon;
+        }
+        else if (sole_daemon_ != daemon)
+        {
+            sole_daemon_.reset();
+        }
         timer_.expires_after(
             std::min(initial_retransmission_delay * (1U << retransmissions_),
                      max_retransmission_delay));
@@ -219,6 +265,7 @@
             send_packet();
             return;
         }
+        record_request_ended();
         if (delivered_packets_ >= min_delivered_packets_to_report)
         {
             callers_.checker_.record_unanswered_flow(caller_, *target_,
@@ -243,7 +290,15 @@
     std::optional<target_process> target_;
     std::uint32_t token_ = 0;
     std::uint32_t opening_packets_sent_ = 0;
-    std::uint32_t sequence_ = 0;
+    /// Numbers of the next byte to be sent and received; opening packets count
+    /// as one.
+    std::uint32_t sequence_ = 1;
+    std::uint32_t received_ = 1;
+    /// When the current packet was first sent.
+    instant request_time_{};
+    /// The daemon that received all copies of the current packet and ran in
+    /// rotation at each; empty if there is none.
+    std::optional<std::uint32_t> sole_daemon_;
     std::uint32_t retransmissions_ = 0;
     /// Transmissions of the current packet that were sent to running daemons in
     /// rotation.
@@ -256,12 +311,14 @@
 caller_simulator::caller_simulator(
     asio::io_context& context, const soak_plan& plan,
     const router& packet_router, invariant_checker& checker,
-    std::function<bool(std::uint32_t)> is_daemon_running)
+    std::function<bool(std::uint32_t)> is_daemon_running,
+    std::function<bool(instant)> has_targets_since)
     : context_(context),
       plan_(plan),
       router_(packet_router),
       checker_(checker),
       is_daemon_running_(std::move(is_daemon_running)),
+      has_targets_since_(std::move(has_targets_since)),
       random_(plan.seed + 1),
       socket_(context, to_asio_endpoint<udp>(plan.caller_endpoint())),
       timer_(context),
@@ -305,20 +362,22 @@
     timer_.async_wait([this](error_code) { open_next_flow(); });
 }
 
-bool caller_simulator::send(const segment& packet)
+std::optional<std::uint32_t> caller_simulator::send(const segment& packet)
 {
     const auto daemon =
         router_.choose_daemon(packet.source, packet.destination);
     if (!daemon)
     {
-        return false;
+        return std::nullopt;
     }
     const segment_bytes bytes = encode(packet);
     error_code ignored_error;
     socket_.send_to(asio::buffer(bytes),
                     to_asio_endpoint<udp>(plan_.packet_endpoint(*daemon)), 0,
                     ignored_error);
-    return is_daemon_running_(*daemon) && router_.in_rotation(*daemon);
+    return is_daemon_running_(*daemon) && router_.in_rotation(*daemon)
+               ? daemon
+               : std::nullopt;
 }
 
 void caller_simulator::receive()
--- a/soak/callers.hpp
+++ b/soak/callers.hpp
@@ -19,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -31,10 +32,12 @@
 {
 public:
     /// `is_daemon_running` returns whether a daemon's process runs and is not
-    /// paused.
+    /// paused. `has_targets_since` returns whether each service has a target
+    /// that has been available since then.
     caller_simulator(boost::asio::io_context& context, const soak_plan& plan,
                      const router& packet_router, invariant_checker& checker,
-                     std::function<bool(std::uint32_t)> is_daemon_running);
+                     std::function<bool(std::uint32_t)> is_daemon_running,
+                     std::function<bool(instant)> has_targets_since);
     ~caller_simulator();
 
     /// Opens flows at the plan's rate until `stop`. Open flows continue after
@@ -62,8 +65,9 @@
 
     void open_next_flow();
     void receive();
-    /// Returns whether the packet was sent to a running daemon in rotation.
-    bool send(const segment& packet);
+    /// Returns the daemon that the packet was sent to, if it runs and is in
+    /// rotation.
+    std::optional<std::uint32_t> send(const segment& packet);
     void remove_flow(const endpoint& caller);
 
     boost::asio::io_context& context_;
@@ -71,6 +75,7 @@
     const router& router_;
     invariant_checker& checker_;
     std::function<bool(std::uint32_t)> is_daemon_running_;
+    std::function<bool(instant)> has_targets_since_;
     random_source random_;
     boost::asio::ip::udp::socket socket_;
     boost::asio::ip::udp::endpoint sender_;
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 invariant_checker::invariant_checker(std::uint32_t daemon_count)
-    : daemon_fault_end_(daemon_count)
+    : daemon_fault_end_(daemon_count), daemon_start_(daemon_count)
 {
 }
 
@@ -67,9 +67,14 @@
     global_fault_end_ = std::max(global_fault_end_.value_or(until), until);
 }
 
-void invariant_checker::record_target_end(target_process target)
+void invariant_checker::record_target_end(target_process target, instant now)
 {
-    ended_processes_.insert(target);
+    ended_processes_.try_emplace(target, now);
+}
+
+void invariant_checker::record_daemon_start(std::uint32_t daemon, instant now)
+{
+    daemon_start_.at(daemon) = now;
 }
 
 bool invariant_checker::had_recovered(std::uint32_t daemon, instant time) const
@@ -203,6 +208,31 @@
     ++counts_.lost_with_target;
 }
 
+void invariant_checker::record_request_ended(std::uint32_t daemon,
+                                             const endpoint& caller,
+                                             target_process target,
+                                             instant request_time, instant now)
+{
+    const auto ended = ended_processes_.find(target);
+    // Faults of the store do not matter here, but a daemon that started or was
+    // paused has no evidence yet.
+    if (ended == ended_processes_.end() ||
+        daemon_start_.at(daemon) + recovery_limit > request_time)
+    {
+        return;
+    }
+    const duration wait = now - std::max(request_time, ended->second);
+    ++counts_.requests_told;
+    counts_.longest_wait = std::max(counts_.longest_wait, wait);
+    if (wait > silence_limit)
+    {
+        record_violation("flow " + to_string(caller) + " waited for " +
+                         std::to_string(wait / 1ms) + " ms at " +
+                         describe_daemon(daemon) + "; " + describe(target) +
+                         " is silent");
+    }
+}
+
 void invariant_checker::record_daemon_exit(std::uint32_t daemon, int status,
                                            bool requested, bool in_time)
 {
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +35,10 @@
     std::uint64_t finished = 0;
     /// Flows that were lost because their target's process ended.
     std::uint64_t lost_with_target = 0;
+    /// Requests of which `record_request_ended` checked how long they took, and
+    /// the longest of them.
+    std::uint64_t requests_told = 0;
+    duration longest_wait{};
     std::uint64_t packets_checked = 0;
 
     friend auto operator<=>(const flow_counts&, const flow_counts&) = default;
@@ -63,7 +66,9 @@
     /// Until `until`, any flow may fail to open because of a fault, the start
     /// of the daemons or a busy machine.
     void record_global_fault(instant until);
-    void record_target_end(target_process target);
+    void record_target_end(target_process target, instant now);
+    /// A daemon's process was started or resumed.
+    void record_daemon_start(std::uint32_t daemon, instant now);
 
     // Observations of backend servers.
 
@@ -90,6 +95,14 @@
     void record_unanswered_flow(const endpoint& caller, target_process target,
                                 std::uint32_t packet_count);
 
+    /// A caller learned at `now`, by a reset or its own timeout, that its
+    /// request of `request_time` has no answer. The request is idempotent, all
+    /// its copies went to `daemon`, which ran, and another target of each
+    /// service was there all the time.
+    void record_request_ended(std::uint32_t daemon, const endpoint& caller,
+                              target_process target, instant request_time,
+                              instant now);
+
     // Daemon processes.
 
     /// `requested` is whether the soak stopped or killed the daemon. `in_time`
@@ -102,6 +115,10 @@
     {
         return !global_fault_end_ || time >= *global_fault_end_;
     }
+    [[nodiscard]] bool is_evacuated(const std::string& data_centre) const
+    {
+        return evacuated_since_.contains(data_centre);
+    }
     [[nodiscard]] const flow_counts& counts() const
     {
         return counts_;
@@ -134,11 +151,12 @@
 
     /// By daemon index.
     std::vector<instant> daemon_fault_end_;
+    std::vector<instant> daemon_start_;
     std::optional<instant> global_fault_end_;
     std::vector<publication> publications_;
     std::map<std::string, instant> evacuated_since_;
     std::map<target_process, instant> draining_since_;
-    std::set<target_process> ended_processes_;
+    std::map<target_process, instant> ended_processes_;
     flow_counts counts_;
     std::vector<std::string> violations_;
 };
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -39,6 +39,11 @@
     {
         return failure{failure_kind::invalid_input, "rate: at least 1"};
     }
+    if (plan.fault_kinds == 0 || plan.fault_kinds > fault_kind_count)
+    {
+        return failure{failure_kind::invalid_input,
+                       "fault kinds: 1 to " + std::to_string(fault_kind_count)};
+    }
     if (plan.network == 0)
     {
         return failure{failure_kind::invalid_input, "network: 1 to 255"};
@@ -69,7 +74,8 @@
         "\n  evacuation_ms: " + milliseconds_text(evacuation_limit) +
         "\n  flow_max_s: " + std::to_string(max_flow_lifetime / 1s) +
         "\nhash: \"" + std::string(routing_policy_name()) +
-        "\"\nforwarding_mode: \"echo\"\nplatform:\n  address: " +
+        "\"\nforwarding_mode: \"echo\"\ncontracts: [health]\nplatform:\n  "
+        "address: " +
         quoted(proxy_endpoint(index)) + "  forwarding_mode: \"read\"\n";
     return text;
 }
--- a/soak/plan.hpp
+++ b/soak/plan.hpp
@@ -7,6 +7,7 @@
 #include "catkinkeel/base/address.hpp"
 #include "catkinkeel/base/time.hpp"
 
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -31,6 +32,8 @@
 /// Time that the platform allows a daemon to recover after a fault has ended.
 inline constexpr duration recovery_limit = 12s;
 
+inline constexpr std::uint32_t fault_kind_count = 21;
+
 /// Command line parameters of a soak, and the addresses and names that follow
 /// from them. Daemons and targets are numbered from 0.
 struct soak_plan
@@ -43,6 +46,8 @@
     std::uint32_t flows_per_second = 40;
     /// Second byte of all addresses; not 0.
     std::uint8_t network = 10;
+    /// The schedule contains only the first kinds of fault, this many.
+    std::uint32_t fault_kinds = fault_kind_count;
 
     friend auto operator<=>(const soak_plan&, const soak_plan&) = default;
 
@@ -105,6 +110,13 @@
     [[nodiscard]] std::string settings_text(std::uint32_t index) const;
 };
 
+/// Time within which the caller of an idempotent request must be told that its
+/// target is silent while another target lives: the goal of a second
+/// (docs/design/hard_load.md, part 3) and a second. Rule b of that page needs
+/// the repeat after 1.4 s; the rest is for a busy machine. The fault proxies
+/// delay only the store, so they add nothing.
+inline constexpr duration silence_limit = 2s;
+
 inline constexpr std::uint32_t service_count = 2;
 /// References 0 and 1 are always published; faults publish and withdraw the
 /// others.
@@ -113,6 +125,27 @@
 inline constexpr std::uint32_t temporary_reference_count =
     reference_count - permanent_reference_count;
 
+/// The terms of a reference's requests in the published configuration.
+struct reference_terms
+{
+    std::string_view kind;
+    bool idempotent = false;
+    std::uint32_t priority = 0;
+    std::uint32_t latency_goal_ms = 0;
+    std::uint32_t timeout_ms = 0;
+
+    friend auto operator<=>(const reference_terms&,
+                            const reference_terms&) = default;
+};
+
+/// As in the deployments of docs/design/hard_load.md. Moved references of
+/// different priority share a service.
+inline constexpr std::array<reference_terms, reference_count>
+    terms_by_reference{reference_terms{"safe", true, 1, 400, 2500},
+                       reference_terms{"unsafe", false, 0, 500, 3000},
+                       reference_terms{"download", true, 2, 1200, 8000},
+                       reference_terms{"upload", false, 2, 800, 6000}};
+
 std::string service_name(std::uint32_t index);
 
 /// Maximum number of daemons and of targets: the daemons have their addresses
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -43,7 +43,8 @@
         "drain_target",      "withdraw_entry",
         "damage_entry",      "move_reference",
         "publish_reference", "withdraw_reference",
-        "evacuate"};
+        "evacuate",          "fail_answers",
+        "silence_target"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -61,7 +62,7 @@
             const scheduled_fault next_fault{
                 .start_offset =
                     series_start + random_duration(random, series_start_window),
-                .kind = static_cast<fault_kind>(random.below(fault_kind_count)),
+                .kind = static_cast<fault_kind>(random.below(plan.fault_kinds)),
                 .random_index =
                     static_cast<std::uint32_t>(random.below(1U << 16U)),
                 .fault_duration =
--- a/soak/schedule.hpp
+++ b/soak/schedule.hpp
@@ -12,6 +12,8 @@
 namespace catkinkeel::soak
 {
 
+/// New kinds are added at the end, so that `soak_plan::fault_kinds` can repeat
+/// the schedule of an older seed.
 enum class fault_kind : std::uint8_t
 {
     stop_daemon,
@@ -45,10 +47,12 @@
     /// A temporary reference is removed from the published configuration.
     withdraw_reference,
     /// A data centre is evacuated for the duration of the fault.
-    evacuate
+    evacuate,
+    /// A target answers requests with errors.
+    fail_answers,
+    /// A target's process ends for good, while its announcement stays.
+    silence_target
 };
-inline constexpr std::uint32_t fault_kind_count = 19;
-
 std::string_view to_string(fault_kind kind);
 
 struct scheduled_fault
--- a/soak/segment.cpp
+++ b/soak/segment.cpp
@@ -26,7 +26,7 @@
 
 segment_bytes encode(const segment& packet)
 {
-    segment_bytes bytes{};
+    segment_bytes bytes(segment_size + packet.data_bytes);
     store_big_u32(bytes.data(), packet.has_checksum ? placeholder_checksum : 0);
     store_big_u32(&bytes[4], packet.source.address.value);
     store_big_u16(&bytes[8], packet.source.port);
@@ -44,7 +44,7 @@
 
 std::optional<segment> decode(std::span<const unsigned char> bytes)
 {
-    if (bytes.size() != segment_size)
+    if (bytes.size() < segment_size)
     {
         return std::nullopt;
     }
@@ -59,7 +59,8 @@
         .aborts = (flags & flag_abort) != 0,
         .sequence = load_big_u32(&bytes[28]),
         .acknowledged_sequence = load_big_u32(&bytes[32]),
-        .has_checksum = load_big_u32(bytes.data()) != 0};
+        .has_checksum = load_big_u32(bytes.data()) != 0,
+        .data_bytes = static_cast<std::uint32_t>(bytes.size() - segment_size)};
 }
 
 } // namespace catkinkeel::soak
--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -93,9 +93,10 @@
               << " flows opened, " << counts.finished << " finished, "
               << counts.lost_with_target << " lost with their target, "
               << counts.refused << " refused, " << counts.not_opened
-              << " not opened, " << counts.packets_checked
-              << " packets checked, " << site.checker().violations().size()
-              << " promises broken\n";
+              << " not opened, " << counts.requests_told
+              << " told of a silent target within " << counts.longest_wait / 1ms
+              << " ms, " << counts.packets_checked << " packets checked, "
+              << site.checker().violations().size() << " promises broken\n";
     for (const std::string& violation : site.checker().violations())
     {
         std::cerr << "BROKEN " << violation << '\n';
@@ -151,6 +152,9 @@
             const TCLAP::ValueArg<std::uint32_t> network(
                 "", "network", "Second byte of the addresses", false,
                 default_plan.network, "1-255", command_line);
+            const TCLAP::ValueArg<std::uint32_t> fault_kinds(
+                "", "fault-kinds", "Only the first kinds of fault", false,
+                default_plan.fault_kinds, "N", command_line);
             const TCLAP::ValueArg<std::string> directory(
                 "", "prepare", "Only write settings files here", false, "",
                 "DIRECTORY", command_line);
@@ -161,7 +165,8 @@
                 .target_count = targets.getValue(),
                 .active_time = std::chrono::seconds(seconds.getValue()),
                 .flows_per_second = rate.getValue(),
-                .network = static_cast<std::uint8_t>(network.getValue())};
+                .network = static_cast<std::uint8_t>(network.getValue()),
+                .fault_kinds = fault_kinds.getValue()};
             if (const auto validation = validate(plan);
                 !validation || network.getValue() > 255)
             {
--- a/soak/soak_site.cpp
+++ b/soak/soak_site.cpp
@@ -2,7 +2,9 @@
 
 #include "catkinkeel/clock/clock.hpp"
 
+#include <algorithm>
 #include <array>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -23,6 +25,12 @@
 /// and, 2 s later, its address may be reused.
 constexpr duration target_restart_delay = 5600ms;
 /// Upper bound for the duration of a flow, including retransmissions.
+/// Added to a fault's duration for the time for which a silent target stays in
+/// the store. Exceeds `silence_limit` and the time between two requests.
+constexpr duration silent_target_listing_time = 6s;
+/// Time from the end of an announcement until the address is used again.
+constexpr duration address_reuse_delay =
+    target_restart_delay - announcement_expiry_delay;
 constexpr duration flow_end_timeout = 40s;
 constexpr duration flow_check_period = 500ms;
 /// Period of the check that the soak's own timers fire in time.
@@ -44,10 +52,11 @@
       checker_(plan.daemon_count),
       store_(context, plan.store_endpoint()),
       router_(context, plan_),
-      callers_(context, plan_, router_, checker_,
-               [this](std::uint32_t daemon) {
-                   return daemons_[daemon].running && !daemons_[daemon].paused;
-               }),
+      callers_(
+          context, plan_, router_, checker_,
+          [this](std::uint32_t daemon)
+          { return daemons_[daemon].running && !daemons_[daemon].paused; },
+          [this](instant since) { return has_targets_since(since); }),
       daemons_(plan.daemon_count),
       reference_services_(reference_count)
 {
@@ -75,7 +84,8 @@
         &soak_site::drain_target,      &soak_site::withdraw_entry,
         &soak_site::damage_entry,      &soak_site::move_reference,
         &soak_site::publish_reference, &soak_site::withdraw_reference,
-        &soak_site::evacuate};
+        &soak_site::evacuate,          &soak_site::fail_answers,
+        &soak_site::silence_target};
     return actions.at(static_cast<std::size_t>(kind));
 }
 
@@ -176,6 +186,7 @@
 {
     daemons_[daemon] = {.running = true};
     checker_.record_daemon_fault(daemon, steady_now());
+    checker_.record_daemon_start(daemon, steady_now());
     send_command_("start", daemon);
 }
 
@@ -253,6 +264,7 @@
               {
                   if (std::exchange(daemons_[daemon].paused, false))
                   {
+                      checker_.record_daemon_start(daemon, steady_now());
                       send_command_("resume", daemon);
                   }
               });
@@ -346,6 +358,45 @@
     }
 }
 
+void soak_site::fail_answers(const scheduled_fault& fault)
+{
+    backend& target = selected_target(fault);
+    target.set_failing(true);
+    run_after(fault.fault_duration, [&target] { target.set_failing(false); });
+}
+
+void soak_site::silence_target(const scheduled_fault& fault)
+{
+    backend& target = selected_target(fault);
+    if (!target.running() || target.draining())
+    {
+        return;
+    }
+    const duration listing_time =
+        silent_target_listing_time + fault.fault_duration;
+    checker_.record_global_fault(steady_now() + listing_time +
+                                 address_reuse_delay + recovery_limit);
+    target.crash();
+    run_after(listing_time, [&target] { target.withdraw(); });
+    run_after(listing_time + address_reuse_delay,
+              [&target] { target.start(false); });
+}
+
+bool soak_site::has_targets_since(instant since) const
+{
+    std::array<bool, service_count> found{};
+    for (std::uint32_t i = 0; i < plan_.target_count; ++i)
+    {
+        const auto available = targets_[i]->available_since();
+        if (available && *available <= since &&
+            !checker_.is_evacuated(soak_plan::data_centre_name(i)))
+        {
+            found.at(targets_[i]->service_index()) = true;
+        }
+    }
+    return std::ranges::all_of(found, std::identity());
+}
+
 void soak_site::drain_target(const scheduled_fault& fault)
 {
     backend& target = selected_target(fault);
@@ -407,7 +458,10 @@
             {{"name", "r" + std::to_string(i)},
              {"host", to_string(reference.address)},
              {"prefix", "/" + std::to_string(reference.port) + "/"},
-             {"kind", "safe"},
+             {"kind", terms_by_reference.at(i).kind},
+             {"priority", terms_by_reference.at(i).priority},
+             {"aim_ms", terms_by_reference.at(i).latency_goal_ms},
+             {"timeout_ms", terms_by_reference.at(i).timeout_ms},
              {"service", service_name(*service)}});
         services.emplace(reference, *service);
         if (i < permanent_reference_count)
--- a/soak/soak_site.hpp
+++ b/soak/soak_site.hpp
@@ -76,6 +76,8 @@
     void silence_store_for_all(const scheduled_fault& fault);
     void lose_history(const scheduled_fault& fault);
     void crash_target(const scheduled_fault& fault);
+    void fail_answers(const scheduled_fault& fault);
+    void silence_target(const scheduled_fault& fault);
     void drain_target(const scheduled_fault& fault);
     void withdraw_entry(const scheduled_fault& fault);
     void damage_entry(const scheduled_fault& fault);
@@ -89,6 +91,9 @@
     void inject_store_fault(std::uint32_t daemon, proxy_mode mode,
                             duration fault_duration);
     void restart_target(backend& target);
+    /// Whether each service has a target that has been available since `since`
+    /// in a data centre that is not evacuated.
+    [[nodiscard]] bool has_targets_since(instant since) const;
     void publish_configuration();
     void stop_load();
     void wait_for_flows();
--- a/soak/soak_test.cpp
+++ b/soak/soak_test.cpp
@@ -67,6 +67,7 @@
     CHECK_FALSE(validate(soak_plan{.target_count = 255}));
     CHECK_FALSE(validate(soak_plan{.flows_per_second = 0}));
     CHECK_FALSE(validate(soak_plan{.network = 0}));
+    CHECK_FALSE(validate(soak_plan{.fault_kinds = fault_kind_count + 1}));
 }
 
 TEST_CASE("a decoded segment equals the encoded one")
@@ -77,7 +78,8 @@
                          .opens = true,
                          .finishes = true,
                          .sequence = 7,
-                         .acknowledged_sequence = 2};
+                         .acknowledged_sequence = 2,
+                         .data_bytes = 5};
     const segment_bytes bytes = encode(packet);
     CHECK(decode(bytes) == packet);
     CHECK_FALSE(decode(std::span(bytes).first(segment_size - 1)));
@@ -141,7 +143,7 @@
     CHECK(fixture.violation_count() == 0);
     fixture.checker.record_packet(0, caller, first_target, second_target);
     CHECK(fixture.violation_count() == 1);
-    fixture.checker.record_target_end(first_target);
+    fixture.checker.record_target_end(first_target, fixture.now);
     fixture.checker.record_packet(0, caller, first_target, second_target);
     CHECK(fixture.violation_count() == 1);
 }
@@ -153,13 +155,38 @@
     fixture.checker.record_flow_reset(caller, first_target);
     fixture.checker.record_unanswered_flow(caller, first_target, 8);
     CHECK(fixture.violation_count() == 2);
-    fixture.checker.record_target_end(first_target);
+    fixture.checker.record_target_end(first_target, fixture.now);
     fixture.checker.record_flow_reset(caller, first_target);
     fixture.checker.record_unanswered_flow(caller, first_target, 8);
     CHECK(fixture.violation_count() == 2);
     CHECK(fixture.checker.counts().lost_with_target == 2);
 }
 
+TEST_CASE("a caller that is told of a silent target too late is detected")
+{
+    checker_fixture fixture;
+    fixture.checker.record_daemon_start(0, fixture.now);
+    fixture.now += recovery_limit;
+    const auto record = [&](duration wait)
+    {
+        fixture.checker.record_request_ended(0, caller, first_target,
+                                             fixture.now, fixture.now + wait);
+    };
+    record(1h);
+    // The target runs.
+    CHECK(fixture.violation_count() == 0);
+    fixture.checker.record_target_end(first_target, fixture.now - 1s);
+    record(silence_limit);
+    CHECK(fixture.violation_count() == 0);
+    record(silence_limit + 1ms);
+    CHECK(fixture.violation_count() == 1);
+    CHECK(fixture.checker.counts().requests_told == 2);
+    // The daemon has no evidence of the time before its start.
+    fixture.checker.record_daemon_start(0, fixture.now);
+    record(1h);
+    CHECK(fixture.violation_count() == 1);
+}
+
 TEST_CASE("a flow that does not open is a violation only without global faults")
 {
     checker_fixture fixture;
