Keep bursts of the soak's packets in its receive buffers

The soak's process, which has callers and targets, had stalled; then the timers of all flows expire at once, and the one socket of the callers dropped answers several times in a row, so the daemons saw only repeats.

No check is changed.

--- a/soak/backends.cpp
+++ b/soak/backends.cpp
@@ -48,6 +48,7 @@
       socket_(context, to_asio_endpoint<udp>(plan.target_endpoint(index))),
       service_index_((index / 2) % service_count)
 {
+    socket_.set_option(packet_receive_buffer);
     receive();
 }
 
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -324,6 +324,7 @@
       timer_(context),
       next_caller_port_(min_caller_port)
 {
+    socket_.set_option(packet_receive_buffer);
     receive();
 }
 
