--- a/catkinkeel/edge/snapshot_json.cpp
+++ b/catkinkeel/edge/snapshot_json.cpp
@@ -118,8 +118,13 @@
         return std::chrono::milliseconds(
             parse_integer<std::uint32_t>(array.at(position)));
     };
+    const auto priority = parse_integer<std::uint32_t>(array.at(1));
+    if (priority > lowest_priority)
+    {
+        throw std::invalid_argument("priority out of range");
+    }
     return {.idempotent = array.at(0).get<bool>(),
-            .priority = parse_integer<std::uint32_t>(array.at(1)),
+            .priority = priority,
             .latency_goal = milliseconds(2),
             .timeout = milliseconds(3)};
 }
--- a/catkinkeel/edge/snapshot_test.cpp
+++ b/catkinkeel/edge/snapshot_test.cpp
@@ -44,6 +44,11 @@
     {
         CHECK_FALSE(parse_snapshot(replaced("slots", value)));
     }
+    std::string low_priority = valid;
+    const std::string terms = "[true,2,150,2000]";
+    low_priority.replace(low_priority.find(terms), terms.size(),
+                         "[true,16,150,2000]");
+    CHECK_FALSE(parse_snapshot(low_priority));
     CHECK_FALSE(parse_snapshot(replaced("identity", "0")));
     CHECK_FALSE(parse_snapshot(replaced("address", "\"10.0.0.1:0\"")));
     CHECK_FALSE(parse_snapshot(std::string(1'000'000, '[')));
