Report the share of rejections when openings are held back

Events 6020 and 6021 gave only the wait, which stays short where targets shed load early, so an operator could not see why openings were held back. Tests of steering, edge, event and cli pass.

--- a/catkinkeel/edge/packet_duty.cpp
+++ b/catkinkeel/edge/packet_duty.cpp
@@ -3,6 +3,7 @@
 #include "catkinkeel/clock/clock.hpp"
 #include "catkinkeel/edge/duty_step.hpp"
 
+#include <cmath>
 #include <string>
 
 namespace catkinkeel::edge
@@ -439,7 +440,9 @@
         events_->report(each.level < 1 ? event_number::admission_reduced
                                        : event_number::admission_restored,
                         {field("service", service),
-                         field("wait_ms", in_milliseconds(each.wait))});
+                         field("wait_ms", in_milliseconds(each.wait)),
+                         field("rejected_percent",
+                               std::lround(100 * each.rejected_share))});
         metrics_->set_admission(service, each.level, each.wait);
     }
     if (now_ - admission_reported_at_ < admission_gauge_period)
--- a/catkinkeel/event/catalogue.cpp
+++ b/catkinkeel/event/catalogue.cpp
@@ -361,14 +361,16 @@
         number::admission_reduced, "admission_reduced", warning, change::none,
         once_per_ten_seconds,
         "service {service} holds back openings of references of less value: "
-        "exchanges wait {wait_ms} ms beyond their work",
+        "exchanges wait {wait_ms} ms beyond their work, {rejected_percent} % "
+        "of the answers look like rejections",
         "Look for targets that left or became slow, and for a surge of "
         "callers."},
     event_definition{
         number::admission_restored, "admission_restored", info, change::none,
         once_per_ten_seconds,
         "service {service} admits openings of all references again; exchanges "
-        "wait {wait_ms} ms beyond their work",
+        "wait {wait_ms} ms beyond their work, {rejected_percent} % of the "
+        "answers look like rejections",
         "None."},
 
     event_definition{number::message_dropped, "message_dropped", warning,
--- a/catkinkeel/steering/cost_admission.cpp
+++ b/catkinkeel/steering/cost_admission.cpp
@@ -385,7 +385,8 @@
     service.was_reduced = service.was_reduced || level < 1;
     if (was_whole != (level >= 1) && changes_.size() < max_admission_changes)
     {
-        changes_.push_back({service.id, level, service.wait});
+        changes_.push_back(
+            {service.id, level, service.wait, service.rejected_share});
     }
 }
 
@@ -448,7 +449,8 @@
         expire(service, now);
         if (service.was_reduced)
         {
-            reduced.push_back({id, service.level, service.wait});
+            reduced.push_back(
+                {id, service.level, service.wait, service.rejected_share});
         }
     }
     return reduced;
--- a/catkinkeel/steering/cost_admission.hpp
+++ b/catkinkeel/steering/cost_admission.hpp
@@ -185,6 +185,8 @@
     /// 1 if no opening is held back.
     double level = 1;
     duration wait{};
+    /// Share of the last answers that look like rejections.
+    double rejected_share = 0;
 
     friend auto operator<=>(const service_admission&,
                             const service_admission&) = default;
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -584,8 +584,8 @@
         {
             continue;
         }
-        // The flow wasn't established, so it is assumed to cause no load at
-        // the target.
+        // The flow wasn't established, so it is assumed to cause no load at the
+        // target.
         set_activity(*flow, flow_activity::none);
         const view_target* target = view_->find_target(opening.target);
         if (target != nullptr && observer_.answer_timed_out(
