Let late openings use at most half of a service's slots

Cause: the openings of the outage return at once, as retransmissions that are late whatever is done, and wait in the targets' queues in front of those that can still be answered in time.

Change: a daemon has at most max(1, slots / (2 * daemons)) requests of late retransmissions in flight for each service, and 1 until it knows the number of daemons.

Tests of steering, edge and platform pass.

--- a/catkinkeel/edge/edge_daemon.cpp
+++ b/catkinkeel/edge/edge_daemon.cpp
@@ -84,16 +84,18 @@
         exchange = std::make_unique<evidence_exchange>(
             evidence, notice_socket.value(), daemon->metrics_);
     }
+    const auto daemon_counts =
+        std::make_shared<daemon_count_ring>(peer_ring_size);
     daemon->peers_ = std::make_unique<peers_duty>(
         settings, notice_socket.value(), confirmations, peer_updates, evidence,
-        events, daemon->metrics_);
+        daemon_counts, events, daemon->metrics_);
     daemon->catalog_ = std::make_unique<catalog_duty>(
         settings.catalog, daemon->read_results_, full_read_requested,
         daemon->views_, daemon->view_board_, daemon->ready_, events,
         daemon->metrics_);
     daemon->packets_ = std::make_unique<packet_duty>(
         settings, std::move(socket).value(), std::move(codec), daemon->views_,
-        std::move(exchange), events, daemon->metrics_);
+        std::move(exchange), daemon_counts, events, daemon->metrics_);
     return daemon;
 }
 
--- a/catkinkeel/edge/evidence_test.cpp
+++ b/catkinkeel/edge/evidence_test.cpp
@@ -51,6 +51,7 @@
         duty = std::make_unique<peers_duty>(
             settings, socket, std::make_shared<confirmation_ring>(1),
             std::make_shared<peer_update_ring>(1), rings,
+            std::make_shared<daemon_count_ring>(1),
             std::make_shared<event_channel>(), metrics);
     }
     void report_silence()
--- a/catkinkeel/edge/packet_duty.cpp
+++ b/catkinkeel/edge/packet_duty.cpp
@@ -134,12 +134,14 @@
                          std::shared_ptr<const packet_codec> codec,
                          std::shared_ptr<view_ring> views,
                          std::unique_ptr<evidence_exchange> evidence,
+                         std::shared_ptr<daemon_count_ring> daemon_counts,
                          std::shared_ptr<event_channel> events,
                          std::shared_ptr<edge_metrics> metrics)
     : socket_(std::move(socket)),
       codec_(std::move(codec)),
       views_(std::move(views)),
       evidence_(std::move(evidence)),
+      daemon_counts_(std::move(daemon_counts)),
       events_(events),
       metrics_(metrics),
       steerer_(settings.steering,
@@ -239,6 +241,10 @@
 void packet_duty::handle(const packet_batch& batch)
 {
     adopt_views();
+    while (const auto count = daemon_counts_->try_pop())
+    {
+        steerer_.late().set_daemon_count(*count);
+    }
     if (evidence_)
     {
         evidence_->record_received(steerer_.evidence(), now_);
--- a/catkinkeel/edge/packet_duty.hpp
+++ b/catkinkeel/edge/packet_duty.hpp
@@ -9,6 +9,7 @@
 #include "catkinkeel/edge/event_channel.hpp"
 #include "catkinkeel/edge/evidence_exchange.hpp"
 #include "catkinkeel/edge/packet_codec.hpp"
+#include "catkinkeel/edge/peers_duty.hpp"
 #include "catkinkeel/packet/udp_socket.hpp"
 #include "catkinkeel/steering/steerer.hpp"
 
@@ -67,6 +68,7 @@
                 std::shared_ptr<const packet_codec> codec,
                 std::shared_ptr<view_ring> views,
                 std::unique_ptr<evidence_exchange> evidence,
+                std::shared_ptr<daemon_count_ring> daemon_counts,
                 std::shared_ptr<event_channel> events,
                 std::shared_ptr<edge_metrics> metrics);
     ~packet_duty();
@@ -113,6 +115,7 @@
     std::shared_ptr<const packet_codec> codec_;
     std::shared_ptr<view_ring> views_;
     std::unique_ptr<evidence_exchange> evidence_;
+    std::shared_ptr<daemon_count_ring> daemon_counts_;
     std::shared_ptr<event_channel> events_;
     std::shared_ptr<edge_metrics> metrics_;
     steering::steerer steerer_;
--- a/catkinkeel/edge/peers_duty.cpp
+++ b/catkinkeel/edge/peers_duty.cpp
@@ -35,6 +35,10 @@
 /// a site of 60 daemons in three data centres these are 20 of 59.
 constexpr std::size_t nearby_report_fan_out = 16;
 constexpr std::size_t remote_report_fan_out = 2;
+/// Time from the start after which the number of known daemons counts. Daemons
+/// that start together, after an outage, know few of each other at first.
+constexpr duration discovery_time = 10s;
+
 /// Headers of IPv4 and UDP, charged for each datagram with reports.
 constexpr std::size_t datagram_header_bytes = 28;
 
@@ -53,6 +57,7 @@
                        std::shared_ptr<confirmation_ring> own_confirmations,
                        std::shared_ptr<peer_update_ring> updates,
                        std::shared_ptr<evidence_rings> evidence,
+                       std::shared_ptr<daemon_count_ring> daemon_counts,
                        std::shared_ptr<event_channel> events,
                        std::shared_ptr<edge_metrics> metrics)
     : settings_(settings.peers),
@@ -60,13 +65,15 @@
       own_confirmations_(std::move(own_confirmations)),
       updates_(std::move(updates)),
       evidence_(std::move(evidence)),
+      daemon_counts_(std::move(daemon_counts)),
       events_(std::move(events)),
       metrics_(std::move(metrics)),
       random_(wall_nanoseconds()),
       table_({settings.peers.notice_endpoint, settings.data_centre},
              settings.peers.table),
+      started_(boot_now()),
       arrivals_(max_receive_wait),
-      report_budget_({}, boot_now()),
+      report_budget_({}, started_),
       thread_([this] { run(); })
 {
 }
@@ -117,6 +124,7 @@
         send_own_confirmations();
         table_.expire(now_);
         send_update_to_reader();
+        send_daemon_count();
     }
 }
 
@@ -353,4 +361,14 @@
     }
 }
 
+void peers_duty::send_daemon_count()
+{
+    const auto count = static_cast<std::uint32_t>(table_.size() + 1);
+    if (count != sent_daemon_count_ && now_ - started_ >= discovery_time)
+    {
+        sent_daemon_count_ = count;
+        daemon_counts_->push_newest(count);
+    }
+}
+
 } // namespace catkinkeel::edge
--- a/catkinkeel/edge/peers_duty.hpp
+++ b/catkinkeel/edge/peers_duty.hpp
@@ -40,9 +40,11 @@
 
 using peer_update_ring = bounded_ring<peer_update>;
 using confirmation_ring = bounded_ring<confirmation>;
+/// Number of daemons that this daemon knows, itself included, for the packet
+/// thread.
+using daemon_count_ring = bounded_ring<std::uint32_t>;
 
-/// Size of the rings between the reading and the peers thread. Only the newest
-/// entries are needed.
+/// Size of the rings of the peers thread. Only the newest entries are needed.
 inline constexpr std::size_t peer_ring_size = 4;
 
 class peers_duty
@@ -56,6 +58,7 @@
                std::shared_ptr<confirmation_ring> own_confirmations,
                std::shared_ptr<peer_update_ring> updates,
                std::shared_ptr<evidence_rings> evidence,
+               std::shared_ptr<daemon_count_ring> daemon_counts,
                std::shared_ptr<event_channel> events,
                std::shared_ptr<edge_metrics> metrics);
     ~peers_duty();
@@ -79,18 +82,23 @@
     void send(const std::vector<endpoint>& to, std::size_t sightings,
               bool requests_peers);
     void send_update_to_reader();
+    /// Passes the number of daemons to the packet thread if it has changed.
+    void send_daemon_count();
 
     peer_settings settings_;
     std::shared_ptr<udp_socket> socket_;
     std::shared_ptr<confirmation_ring> own_confirmations_;
     std::shared_ptr<peer_update_ring> updates_;
     std::shared_ptr<evidence_rings> evidence_;
+    std::shared_ptr<daemon_count_ring> daemon_counts_;
     std::shared_ptr<event_channel> events_;
     std::shared_ptr<edge_metrics> metrics_;
     random_source random_;
     peer_table table_;
     std::optional<confirmation> confirmation_;
     reader_rank sent_rank_;
+    std::uint32_t sent_daemon_count_ = 0;
+    instant started_;
     instant now_;
     arrival_bound arrivals_;
     instant next_notice_;
--- a/catkinkeel/edge/peers_test.cpp
+++ b/catkinkeel/edge/peers_test.cpp
@@ -148,10 +148,10 @@
     settings.data_centre = "a";
     settings.peers.notice_endpoint = receiver->local();
     const auto updates = std::make_shared<peer_update_ring>(peer_ring_size);
-    const peers_duty duty(settings, receiver,
-                          std::make_shared<confirmation_ring>(peer_ring_size),
-                          updates, nullptr, std::make_shared<event_channel>(),
-                          std::make_shared<edge_metrics>());
+    const peers_duty duty(
+        settings, receiver, std::make_shared<confirmation_ring>(peer_ring_size),
+        updates, nullptr, std::make_shared<daemon_count_ring>(peer_ring_size),
+        std::make_shared<event_channel>(), std::make_shared<edge_metrics>());
     bool new_received = false;
     CHECK(testing::eventually(
         [&]
--- a/catkinkeel/steering/admission.cpp
+++ b/catkinkeel/steering/admission.cpp
@@ -1,8 +1,25 @@
 #include "catkinkeel/steering/admission.hpp"
 
+#include <algorithm>
+#include <array>
+
 namespace catkinkeel::steering
 {
 
+namespace
+{
+
+/// Time from an opening packet to its retransmissions, by number.
+constexpr std::array times_passed{0ms, 200ms, 600ms};
+
+} // namespace
+
+duration time_passed(std::uint32_t retransmission)
+{
+    return times_passed.at(
+        std::min<std::size_t>(retransmission, times_passed.size() - 1));
+}
+
 admission admit(const admission_limits& limits, std::uint32_t retransmission,
                 const candidate& best)
 {
--- a/catkinkeel/steering/admission.hpp
+++ b/catkinkeel/steering/admission.hpp
@@ -4,6 +4,7 @@
 // is busy. It limits bursts of callers and the load that returns all at once
 // after an outage, which would make targets refuse most of their requests.
 
+#include "catkinkeel/base/time.hpp"
 #include "catkinkeel/steering/selection.hpp"
 
 #include <compare>
@@ -34,6 +35,9 @@
 /// Number of the last retransmission of an opening packet, counted from 1.
 inline constexpr std::uint32_t last_retransmission = 2;
 
+/// Time from the original opening packet to its retransmission.
+[[nodiscard]] duration time_passed(std::uint32_t retransmission);
+
 /// What to do with an opening packet.
 enum class admission : std::uint8_t
 {
--- a/catkinkeel/steering/cost_admission.cpp
+++ b/catkinkeel/steering/cost_admission.cpp
@@ -23,8 +23,6 @@
 /// How much a short exchange counts for the percentile. It is not 0 because
 /// an estimate that was made in overload may be far too high.
 constexpr double weight_of_short_exchange = 0.1;
-/// Time from an opening packet to its retransmissions, by number.
-constexpr std::array times_passed{0ms, 200ms, 600ms};
 
 /// The median of the exchanges that are not too short. A daemon that starts in
 /// overload sees many short answers of targets that shed load, and an estimate
@@ -171,12 +169,6 @@
     return 1 - (1 - min_share) * reduction;
 }
 
-duration time_passed(std::uint32_t retransmission)
-{
-    return times_passed.at(
-        std::min<std::size_t>(retransmission, times_passed.size() - 1));
-}
-
 admission_limits limits_for(duration work, duration latency_goal,
                             const admission_limits& constants,
                             const cost_admission_settings& settings)
--- a/catkinkeel/steering/cost_admission.hpp
+++ b/catkinkeel/steering/cost_admission.hpp
@@ -153,9 +153,6 @@
 [[nodiscard]] double admitted_share(double level, std::size_t rank,
                                     std::size_t count, double min_share);
 
-/// Time from the original opening packet to its retransmission.
-[[nodiscard]] duration time_passed(std::uint32_t retransmission);
-
 /// The limits at which the work of as many requests as a slot has is done
 /// within the latency goal. `constants` if the goal is not known.
 [[nodiscard]] admission_limits
--- a/catkinkeel/steering/flow_tracker.hpp
+++ b/catkinkeel/steering/flow_tracker.hpp
@@ -53,6 +53,8 @@
     instant opened_at;
     /// When the last opening packet was sent.
     instant last_opening_sent;
+    /// Set while the flow counts in `late_openings` of this service.
+    std::optional<service_id> late_at;
     /// Meaningful once established.
     request_progress request;
 
--- /dev/null
+++ b/catkinkeel/steering/late_openings.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+// Limits openings that can no longer be answered within their latency goal.
+// After an outage, the openings of its whole duration return at once, as
+// retransmissions. They are late whatever is done, so they must not wait in the
+// queues of targets in front of openings that can still be answered in time.
+// docs/design/hard_load.md, part 6, has the reasons.
+//
+// Example:
+//   late_openings late;
+//   if (late.is_late(retransmission, terms) && !late.may_start(service, slots))
+//   {
+//       drop the opening; its caller retransmits it
+//   }
+//   late.request_started(service);
+//   late.request_ended(service);  // answered, ended or expired
+
+#include "catkinkeel/base/identifier.hpp"
+#include "catkinkeel/steering/objects.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+
+namespace catkinkeel::steering
+{
+
+/// Part of a service's slots that late openings may use, over all daemons. The
+/// other part is for openings that can be answered in time.
+inline constexpr double max_late_share = 0.5;
+
+/// Whether an opening that arrives as this retransmission is answered after
+/// the latency goal of its reference, whatever the load is. Never if the goal
+/// is not known.
+[[nodiscard]] bool is_late(std::uint32_t retransmission,
+                           const request_terms& terms);
+
+/// Counts the late requests in flight of this daemon's flows. Not thread-safe.
+class late_openings
+{
+public:
+    /// `daemons` is the number of daemons that share the load, this one
+    /// included. While it is not known, one late request of each service may be
+    /// in flight.
+    void set_daemon_count(std::uint32_t daemons);
+
+    /// Whether another late request of the service may start, if the eligible
+    /// targets of the service have so many slots.
+    [[nodiscard]] bool may_start(service_id service, std::uint64_t slots) const;
+
+    void request_started(service_id service);
+    void request_ended(service_id service);
+
+    /// Late requests in flight.
+    [[nodiscard]] std::uint32_t in_flight(service_id service) const;
+
+private:
+    std::optional<std::uint32_t> daemons_;
+    std::unordered_map<service_id, std::uint32_t> in_flight_;
+};
+
+} // namespace catkinkeel::steering
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -190,6 +190,15 @@
         return {.decision = refuse{refusal_reason::no_target}};
     }
     const candidate& selected = candidates[*position];
+    const bool late = settings_.limits_late_openings &&
+                      is_late(packet.retransmission, reference.terms);
+    if (late && tracked == nullptr &&
+        !late_.may_start(service, slots_of(service, candidates)))
+    {
+        // Dropped and not refused: a caller that is refused comes back at once,
+        // as an original.
+        return {.decision = discard{discard_reason::overloaded}};
+    }
     const admission verdict = cost_admission_.decide(
         {.service = service,
          .reference = reference.address,
@@ -202,6 +211,10 @@
     }
     const view_target& target = view_->parts().targets[selected.index];
     record_opening(packet, target, now);
+    if (late)
+    {
+        record_late(packet.key, service);
+    }
     failing_.opening_sent(target.id, now);
     const auto avoided = std::ranges::count(candidates, target_trust::avoided,
                                             &candidate::trust);
@@ -238,6 +251,28 @@
     return reference.weighted_services.back().service;
 }
 
+std::uint64_t steerer::slots_of(service_id service,
+                                std::span<const candidate> candidates) const
+{
+    std::uint64_t slots = 0;
+    for (const candidate& each : candidates)
+    {
+        slots += each.slots;
+    }
+    // Only a part of a large service's targets are candidates.
+    return slots * view_->eligible_targets(service).size() / candidates.size();
+}
+
+void steerer::record_late(const flow_key& key, service_id service)
+{
+    tracked_flow* flow = flows_.find(key);
+    if (flow != nullptr && !flow->late_at)
+    {
+        flow->late_at = service;
+        late_.request_started(service);
+    }
+}
+
 std::span<const candidate> steerer::candidates_for(service_id service,
                                                    const tracked_flow* tracked,
                                                    instant now)
@@ -613,6 +648,11 @@
 void steerer::set_activity(tracked_flow& flow, flow_activity activity)
 {
     observer_.activity_changed(flow.target, flow.activity, activity);
+    if (flow.late_at && activity != flow_activity::at_work)
+    {
+        late_.request_ended(*flow.late_at);
+        flow.late_at.reset();
+    }
     flow.activity = activity;
 }
 
--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -20,6 +20,7 @@
 #include "catkinkeel/steering/cost_admission.hpp"
 #include "catkinkeel/steering/failing_targets.hpp"
 #include "catkinkeel/steering/flow_tracker.hpp"
+#include "catkinkeel/steering/late_openings.hpp"
 #include "catkinkeel/steering/selection.hpp"
 #include "catkinkeel/steering/silent_targets.hpp"
 #include "catkinkeel/steering/target_evidence.hpp"
@@ -215,6 +216,9 @@
     bool admits_by_cost = false;
     /// Reset flows of dead targets whose requests callers may repeat.
     bool releases_flows = false;
+    /// Limit openings that can't be answered within their latency goal any
+    /// more.
+    bool limits_late_openings = false;
 
     friend auto operator<=>(const steerer_settings&,
                             const steerer_settings&) = default;
@@ -276,6 +280,10 @@
     {
         return failing_;
     }
+    [[nodiscard]] late_openings& late()
+    {
+        return late_;
+    }
     [[nodiscard]] std::size_t tracked_flows() const
     {
         return flows_.size();
@@ -324,6 +332,12 @@
                                 const steering_result& result);
     void record_opening(const flow_packet& packet, const view_target& target,
                         instant now);
+    /// Counts the flow as a late request of the service.
+    void record_late(const flow_key& key, service_id service);
+    /// Slots of the service's eligible targets; an estimate if not all of them
+    /// are candidates.
+    [[nodiscard]] std::uint64_t
+    slots_of(service_id service, std::span<const candidate> candidates) const;
     [[nodiscard]] service_id
     choose_service(const flow_packet& packet,
                    const view_reference& reference) const;
@@ -348,6 +362,7 @@
     cost_admission cost_admission_;
     answer_statistics answers_;
     failing_targets failing_;
+    late_openings late_;
     flow_tracker flows_;
     std::vector<pending_opening> unsent_openings_;
 };
