Hold back late openings only if their callers have another attempt

Cause: an opening that is held back may be the last that its caller's timeout allows; the daemon does not see which attempt it belongs to.

Change: only openings are held back whose reference's timeout leaves room for another attempt of the caller (1,400 ms until it opens another flow, 600 ms to the last retransmission, and the latency goal).

--- a/catkinkeel/steering/admission.hpp
+++ b/catkinkeel/steering/admission.hpp
@@ -38,6 +38,10 @@
 /// Time from the original opening packet to its retransmission.
 [[nodiscard]] duration time_passed(std::uint32_t retransmission);
 
+/// Time after which a caller gives up an opening that was not answered and
+/// opens another flow.
+inline constexpr duration attempt_timeout = 1400ms;
+
 /// What to do with an opening packet.
 enum class admission : std::uint8_t
 {
--- a/catkinkeel/steering/late_openings.cpp
+++ b/catkinkeel/steering/late_openings.cpp
@@ -7,10 +7,13 @@
 namespace catkinkeel::steering
 {
 
-bool is_late(std::uint32_t retransmission, const request_terms& terms)
+bool is_deferrable(std::uint32_t retransmission, const request_terms& terms)
 {
+    const duration next_attempt_ends =
+        attempt_timeout + time_passed(last_retransmission);
     return terms.latency_goal > duration::zero() &&
-           time_passed(retransmission) >= terms.latency_goal;
+           time_passed(retransmission) >= terms.latency_goal &&
+           terms.timeout >= next_attempt_ends + terms.latency_goal;
 }
 
 void late_openings::set_daemon_count(std::uint32_t daemons)
--- a/catkinkeel/steering/late_openings.hpp
+++ b/catkinkeel/steering/late_openings.hpp
@@ -8,7 +8,8 @@
 //
 // Example:
 //   late_openings late;
-//   if (late.is_late(retransmission, terms) && !late.may_start(service, slots))
+//   if (is_deferrable(retransmission, terms) &&
+//       !late.may_start(service, slots))
 //   {
 //       drop the opening; its caller retransmits it
 //   }
@@ -30,11 +31,13 @@
 /// other part is for openings that can be answered in time.
 inline constexpr double max_late_share = 0.5;
 
-/// Whether an opening that arrives as this retransmission is answered after
-/// the latency goal of its reference, whatever the load is. Never if the goal
-/// is not known.
-[[nodiscard]] bool is_late(std::uint32_t retransmission,
-                           const request_terms& terms);
+/// Whether an opening that arrives as this retransmission may be held back: it
+/// is answered after the latency goal whatever the load is, and its caller's
+/// timeout leaves room for another attempt. With a shorter timeout, callers of
+/// an outage would get no answer instead of a late one. False if the goal or
+/// the timeout is not known.
+[[nodiscard]] bool is_deferrable(std::uint32_t retransmission,
+                                 const request_terms& terms);
 
 /// Counts the late requests in flight of this daemon's flows. Not thread-safe.
 class late_openings
--- a/catkinkeel/steering/late_openings_test.cpp
+++ b/catkinkeel/steering/late_openings_test.cpp
@@ -24,6 +24,7 @@
         published_configuration configuration =
             sample_configuration(1, {{443, "orderdesk"}});
         configuration.references[0].terms.latency_goal = 150ms;
+        configuration.references[0].terms.timeout = 3s;
         std::vector<metadata_change> changes{
             configuration_published{std::move(configuration)}};
         for (std::uint32_t i = 0; i < 4; ++i)
@@ -79,15 +80,18 @@
 
 } // namespace
 
-TEST_CASE("a retransmission is late once the latency goal has passed")
+TEST_CASE("openings that are late and have time left are deferrable")
 {
-    // Guards against holding back openings that can still be answered in time.
-    CHECK_FALSE(is_late(0, {.latency_goal = 150ms}));
-    CHECK(is_late(1, {.latency_goal = 150ms}));
-    CHECK(is_late(1, {.latency_goal = 200ms}));
-    CHECK_FALSE(is_late(1, {.latency_goal = 500ms}));
-    CHECK(is_late(2, {.latency_goal = 500ms}));
-    CHECK_FALSE(is_late(2, {}));
+    // Guards against holding back openings that can still be answered in time,
+    // and those whose callers have no further attempt.
+    CHECK_FALSE(is_deferrable(0, {.latency_goal = 150ms, .timeout = 3s}));
+    CHECK(is_deferrable(1, {.latency_goal = 150ms, .timeout = 3s}));
+    CHECK(is_deferrable(1, {.latency_goal = 200ms, .timeout = 2200ms}));
+    CHECK_FALSE(is_deferrable(1, {.latency_goal = 200ms, .timeout = 2s}));
+    CHECK_FALSE(is_deferrable(1, {.latency_goal = 500ms, .timeout = 3s}));
+    CHECK(is_deferrable(2, {.latency_goal = 500ms, .timeout = 3s}));
+    CHECK_FALSE(is_deferrable(2, {.timeout = 3s}));
+    CHECK_FALSE(is_deferrable(2, {.latency_goal = 500ms}));
 }
 
 TEST_CASE("late requests use half of the slots over all daemons")
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -191,7 +191,7 @@
     }
     const candidate& selected = candidates[*position];
     const bool late = settings_.limits_late_openings &&
-                      is_late(packet.retransmission, reference.terms);
+                      is_deferrable(packet.retransmission, reference.terms);
     if (late && tracked == nullptr &&
         !late_.may_start(service, slots_of(service, candidates)))
     {
