Move the detection of silent targets out of the steerer

The decision whether a flow is reset because its target is silent is now in steering/silence_detector, which holds silent_targets and asks the steerer for candidates only when a caller repeats unacknowledged data.

The step of a packet (request_progress) and the flow's record are looked up once for a packet of an open flow; before, both were computed twice. No change of behaviour. The steering tests pass.

--- a/catkinkeel/steering/flow_tracker.cpp
+++ b/catkinkeel/steering/flow_tracker.cpp
@@ -3,6 +3,20 @@
 namespace catkinkeel::steering
 {
 
+bool is_established(const tracked_flow* flow)
+{
+    return flow != nullptr && flow->stage == flow_stage::established;
+}
+
+request_step step_of(const tracked_flow* flow, const flow_segment& segment,
+                     instant now)
+{
+    return is_established(flow)
+               ? advance(flow->request, segment, now)
+               : request_step{.next = begin_flow(segment, now),
+                              .is_copy = segment.data_bytes > 0};
+}
+
 tracked_flow* flow_tracker::find(const flow_key& key)
 {
     const auto found = flows_.find(key);
--- a/catkinkeel/steering/flow_tracker.hpp
+++ b/catkinkeel/steering/flow_tracker.hpp
@@ -61,6 +61,16 @@
     friend auto operator<=>(const tracked_flow&, const tracked_flow&) = default;
 };
 
+/// Whether a packet after the handshake of the flow was seen; not if `flow` is
+/// null.
+[[nodiscard]] bool is_established(const tracked_flow* flow);
+
+/// What a packet shows about the request of its flow. `flow` is the record
+/// before the packet, null if the flow is not tracked. The first packet begins
+/// the request.
+[[nodiscard]] request_step step_of(const tracked_flow* flow,
+                                   const flow_segment& segment, instant now);
+
 struct tracker_settings
 {
     /// Maximum number of tracked flows; others are steered by their token
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -355,18 +355,28 @@
         return {.decision = discard{discard_reason::unknown_token}};
     }
     steering_result result{.decision = to_target(*target)};
+    tracked_flow* flow = flows_.find(packet.key);
+    const request_step step = step_of(flow, packet.segment, now);
     if (settings_.releases_flows)
     {
-        result.silence = record_silence(packet, reference, *target, now);
+        result.silence =
+            silence_.record_packet({.key = packet.key,
+                                    .view = *view_,
+                                    .reference = reference,
+                                    .target = *target,
+                                    .flow = flow,
+                                    .step = step,
+                                    .ends = packet.finishes || packet.aborts},
+                                   *this, evidence_, now);
     }
     if (result.silence)
     {
         result.decision = refuse{refusal_reason::target_silent};
-        set_activity(*flows_.find(packet.key), flow_activity::none);
+        set_activity(*flow, flow_activity::none);
         flows_.erase(packet.key);
         return result;
     }
-    record_packet(packet, *target, now, result);
+    record_packet(packet, *target, flow, step, now, result);
     const bool rejected = settings_.judges_answers && result.answered_bytes &&
                           judge_answer(reference, *target, now, result) ==
                               answer_verdict::deficient;
@@ -382,136 +392,31 @@
     return result;
 }
 
-std::optional<silence_details>
-steerer::record_silence(const flow_packet& packet,
-                        const view_reference& reference,
-                        const view_target& target, instant now)
-{
-    const tracked_flow* flow = flows_.find(packet.key);
-    const bool first_packet =
-        flow == nullptr || flow->stage == flow_stage::opening;
-    if (!first_packet && flow->target != target.id)
-    {
-        // The record is of a former flow of the caller's port.
-        silence_.record_other_packet(target.id, now);
-        return std::nullopt;
-    }
-    const request_step step =
-        first_packet ? request_step{.is_copy = packet.segment.data_bytes > 0}
-                     : advance(flow->request, packet.segment, now);
-    if ((first_packet && flow != nullptr) || step.acknowledges)
-    {
-        std::optional<instant> sent_at;
-        if (first_packet)
-        {
-            sent_at = flow->opened_at;
-        }
-        else if (step.answered_after)
-        {
-            sent_at = flow->request.sent_at;
-        }
-        silence_.record_sign_of_life(target.id, target.data_centre, sent_at,
-                                     now);
-        evidence_.clear_own(target, evidence_kind::silence, now);
-    }
-    if (!step.is_copy || packet.finishes || packet.aborts)
-    {
-        if (!step.acknowledges)
-        {
-            silence_.record_other_packet(target.id, now);
-        }
-        return std::nullopt;
-    }
-    if (step.unanswered_copies > 0)
-    {
-        silence_.record_unanswered(target.id, packet.key);
-        report_own_silence(target, packet.key, flow->request.last_copy_at, now);
-        if (reference.terms.idempotent)
-        {
-            const own_silence own =
-                silence_.evidence_of(target.id, packet.key, now);
-            const evidence_summary peers =
-                evidence_.evidence_of(target, evidence_kind::silence, now);
-            if (const auto rule = rule_of(
-                    {.withdrawn = target.standing == target_standing::withdrawn,
-                     .own = own,
-                     .peers = peers,
-                     .other = find_alternative(reference, target,
-                                               flow->request.sent_at, now)}))
-            {
-                return silence_details{*rule, target.id, own.flow_copies,
-                                       own.target_copies, peers.reporters};
-            }
-        }
-    }
-    silence_.record_copy(target.id, packet.key, now);
-    return std::nullopt;
-}
-
 bool steerer::is_silent(const view_target& target, instant now) const
 {
     return settings_.releases_flows &&
-           (silence_.evidence_of(target.id, {}, now).target_copies >=
-                fatal_copies ||
-            is_reported_silent(
-                evidence_.evidence_of(target, evidence_kind::silence, now)));
+           silence_.is_silent(target, evidence_, now);
 }
 
-alternative steerer::find_alternative(const view_reference& reference,
-                                      const view_target& silent,
-                                      instant first_sent, instant now)
+std::span<const candidate> steerer::candidates_of(service_id service,
+                                                  instant now)
 {
-    alternative best = alternative::none;
-    for (const weighted_service_id& weighted : reference.weighted_services)
-    {
-        alternative found = alternative::none;
-        for (const candidate& each :
-             candidates_for(weighted.service, nullptr, now))
-        {
-            const target_id id = view_->parts().targets[each.index].id;
-            if (id != silent.id && each.trust == target_trust::trusted)
-            {
-                found = std::max(found, silence_.is_alive_since(id, first_sent)
-                                            ? alternative::alive
-                                            : alternative::trusted);
-            }
-        }
-        // The caller's next flow may be opened at any of the services.
-        if (found == alternative::none)
-        {
-            return found;
-        }
-        best = std::max(best, found);
-    }
-    return best;
-}
-
-void steerer::report_own_silence(const view_target& target,
-                                 const flow_key& flow, instant proof_since,
-                                 instant now)
-{
-    const own_silence own = silence_.evidence_of(target.id, flow, now);
-    const std::uint32_t count = own.target_copies + own.openings;
-    if (count > 0 && silence_.is_reachable(target.data_centre, proof_since))
-    {
-        evidence_.record_own(target, evidence_kind::silence, count, now);
-    }
+    return candidates_for(service, nullptr, now);
 }
 
 void steerer::record_packet(const flow_packet& packet,
-                            const view_target& target, instant now,
+                            const view_target& target, tracked_flow* flow,
+                            const request_step& step, instant now,
                             steering_result& result)
 {
     const bool ends = packet.finishes || packet.aborts;
-    tracked_flow* flow = flows_.find(packet.key);
     if (flow == nullptr && packet.segment.data_bytes > 0 && !ends)
     {
         // Another daemon opened the flow, or it was idle for long.
-        flow = flows_.add(packet.key,
-                          {.target = target.id,
-                           .stage = flow_stage::established,
-                           .opened_at = now,
-                           .request = begin_flow(packet.segment, now)});
+        flow = flows_.add(packet.key, {.target = target.id,
+                                       .stage = flow_stage::established,
+                                       .opened_at = now,
+                                       .request = step.next});
         if (flow != nullptr)
         {
             set_activity(*flow, flow_activity::at_work);
@@ -524,18 +429,14 @@
     }
     if (flow->stage == flow_stage::opening)
     {
-        record_established(*flow, packet, target, now, result);
+        record_established(*flow, target, now, result);
     }
-    else
+    else if (step.answered_after)
     {
-        const request_step step = advance(flow->request, packet.segment, now);
-        if (step.answered_after)
-        {
-            record_answer(*flow, *step.answered_after, result);
-            result.answered_bytes = step.answered_bytes;
-        }
-        flow->request = step.next;
+        record_answer(*flow, *step.answered_after, result);
+        result.answered_bytes = step.answered_bytes;
     }
+    flow->request = step.next;
     if (ends)
     {
         record_flow_end(*flow, packet, now, result);
@@ -545,9 +446,8 @@
                                                   : flow_activity::idle);
 }
 
-void steerer::record_established(tracked_flow& flow, const flow_packet& packet,
-                                 const view_target& target, instant now,
-                                 steering_result& result)
+void steerer::record_established(tracked_flow& flow, const view_target& target,
+                                 instant now, steering_result& result)
 {
     if (flow.target != target.id)
     {
@@ -556,7 +456,6 @@
         flow.target = target.id;
     }
     flow.stage = flow_stage::established;
-    flow.request = begin_flow(packet.segment, now);
     result.handshake_duration = now - flow.last_opening_sent;
     observer_.answered(target, now);
 }
@@ -630,10 +529,8 @@
                                  observer_.load_of(opening.target).failures});
             if (settings_.releases_flows)
             {
-                silence_.record_unanswered_opening(target->id, processed_until);
-                report_own_silence(*target, opening.key,
-                                   opening.sent_at - opening_proof_age,
-                                   processed_until);
+                silence_.record_unanswered_opening(*target, opening.sent_at,
+                                                   evidence_, processed_until);
             }
         }
     }
--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -22,7 +22,7 @@
 #include "catkinkeel/steering/flow_tracker.hpp"
 #include "catkinkeel/steering/late_openings.hpp"
 #include "catkinkeel/steering/selection.hpp"
-#include "catkinkeel/steering/silent_targets.hpp"
+#include "catkinkeel/steering/silence_detector.hpp"
 #include "catkinkeel/steering/target_evidence.hpp"
 #include "catkinkeel/steering/target_observer.hpp"
 #include "catkinkeel/steering/token.hpp"
@@ -149,22 +149,6 @@
                             const selection_details&) = default;
 };
 
-/// Facts on which the reset of a flow was based, for the event log.
-struct silence_details
-{
-    silence_rule rule = silence_rule::withdrawn;
-    target_id target;
-    /// Unanswered copies of the flow and of all flows of this daemon to the
-    /// target.
-    std::uint32_t flow_copies = 0;
-    std::uint32_t target_copies = 0;
-    /// Peers that report silence.
-    std::uint32_t reporters = 0;
-
-    friend auto operator<=>(const silence_details&,
-                            const silence_details&) = default;
-};
-
 /// The decision on a packet and what the packet shows about its flow.
 struct steering_result
 {
@@ -229,7 +213,7 @@
 inline constexpr std::size_t max_candidates = 256;
 
 /// Steers packets by the current view. Not thread-safe.
-class steerer
+class steerer : private candidate_source
 {
 public:
     steerer(steerer_settings settings,
@@ -297,31 +281,18 @@
     steering_result steer_by_token(const flow_packet& packet,
                                    const view_reference& reference,
                                    instant now);
-    /// Records what a packet of an open flow shows about the silence of
-    /// `target`. Returns the facts if the flow has to be reset.
-    std::optional<silence_details>
-    record_silence(const flow_packet& packet, const view_reference& reference,
-                   const view_target& target, instant now);
-    /// Whether new flows avoid the target because it does not acknowledge data,
-    /// by what this daemon or its peers have seen.
+    /// Whether new flows avoid the target because it is silent.
     [[nodiscard]] bool is_silent(const view_target& target, instant now) const;
-    /// Where the caller of a flow to `silent` could be served. `first_sent` is
-    /// when the data was first sent.
-    [[nodiscard]] alternative find_alternative(const view_reference& reference,
-                                               const view_target& silent,
-                                               instant first_sent, instant now);
-    /// Records this daemon's evidence for its peers if another target of the
-    /// data centre has answered a packet forwarded since `proof_since`. A
-    /// daemon that is cut off must not make others distrust targets that they
-    /// reach.
-    void report_own_silence(const view_target& target, const flow_key& flow,
-                            instant proof_since, instant now);
-    /// Updates the record of an open flow by a packet to `target`.
+    /// Implements `candidate_source`.
+    [[nodiscard]] std::span<const candidate>
+    candidates_of(service_id service, instant now) override;
+    /// Updates the record of an open flow by a packet to `target`. `flow` is
+    /// null if it is not tracked; `step` is `step_of` the packet.
     void record_packet(const flow_packet& packet, const view_target& target,
+                       tracked_flow* flow, const request_step& step,
                        instant now, steering_result& result);
-    void record_established(tracked_flow& flow, const flow_packet& packet,
-                            const view_target& target, instant now,
-                            steering_result& result);
+    void record_established(tracked_flow& flow, const view_target& target,
+                            instant now, steering_result& result);
     void record_flow_end(tracked_flow& flow, const flow_packet& packet,
                          instant now, steering_result& result);
     void record_answer(const tracked_flow& flow, duration elapsed,
@@ -358,7 +329,7 @@
     std::optional<data_centre_id> own_data_centre_;
     target_observer observer_;
     evidence_pool evidence_;
-    silent_targets silence_;
+    silence_detector silence_;
     cost_admission cost_admission_;
     answer_statistics answers_;
     failing_targets failing_;
