Count no suspected target as an alternative for the caller of a reset flow

A flow of a silent target was reset although the only other trusted targets were suspected of answering with errors. Candidates for the caller are now assessed as those of a new flow are, for a request that is not idempotent: a suspected target whose trial is due is no alternative either. If more than a third of the candidates are suspected, suspicions are ignored here, too.

The new test fails before this change (the flow is reset); all steering tests pass with it.

--- a/catkinkeel/steering/silence_detector.hpp
+++ b/catkinkeel/steering/silence_detector.hpp
@@ -50,7 +50,8 @@
 public:
     virtual ~candidate_source() = default;
 
-    /// The result is valid until the next call.
+    /// Those with trust `trusted` are alternatives to a silent target. The
+    /// result is valid until the next call.
     [[nodiscard]] virtual std::span<const candidate>
     candidates_of(service_id service, instant now) = 0;
 };
--- a/catkinkeel/steering/silent_targets_test.cpp
+++ b/catkinkeel/steering/silent_targets_test.cpp
@@ -18,9 +18,12 @@
 class silence_fixture
 {
 public:
-    explicit silence_fixture(bool idempotent = true, bool enabled = true)
+    explicit silence_fixture(bool idempotent = true, bool enabled = true,
+                             bool judges_answers = false)
         : catalog_(catalog_settings{}),
-          steerer_({.data_centre = "a", .releases_flows = enabled},
+          steerer_({.data_centre = "a",
+                    .judges_answers = judges_answers,
+                    .releases_flows = enabled},
                    std::make_shared<least_cost_policy>(selection_weights{}),
                    random_source(20261206))
     {
@@ -76,12 +79,30 @@
         return refused ? std::optional(result.silence->rule) : std::nullopt;
     }
 
-    const view_target& dead() const
+    const view_target& target(const char* name) const
     {
-        return *std::ranges::find(steerer_.view()->parts().targets, "dead",
+        return *std::ranges::find(steerer_.view()->parts().targets, name,
                                   &view_target::name);
     }
 
+    const view_target& dead() const
+    {
+        return target("dead");
+    }
+
+    /// `count` peers report one observation of the target each.
+    void report(const char* name, evidence_kind kind, std::uint32_t count,
+                instant now)
+    {
+        for (std::uint32_t peer = 0; peer < count; ++peer)
+        {
+            steerer_.evidence().record_peer(
+                {address(50 + peer, 7720),
+                 {run_of(target(name)), kind, 1, now}},
+                now);
+        }
+    }
+
     steerer& steering()
     {
         return steerer_;
@@ -205,6 +226,32 @@
     CHECK(disabled.steering().evidence().take_outgoing().empty());
 }
 
+TEST_CASE("a suspected target is no alternative for the caller of a reset flow")
+{
+    // Guards against callers that are reset and then placed at a target which
+    // answers with errors. The targets besides "live" do not acknowledge data;
+    // without them, a suspicion would be of more than a third of the service.
+    silence_fixture site(true, true, true);
+    site.apply({target_announced{sample_target("mute1", "feed", "a", 102)},
+                target_announced{sample_target("mute2", "feed", "a", 103)},
+                target_withdrawn{"dead"}});
+    const auto request = [&](std::uint16_t port, instant now)
+    {
+        site.report("mute1", evidence_kind::silence, 3, now);
+        site.report("mute2", evidence_kind::silence, 3, now);
+        return site.request(port, now);
+    };
+    request(1, at(0s));
+    request(2, at(0s));
+    CHECK(request(2, at(200ms)) == silence_rule::withdrawn);
+    site.report("live", evidence_kind::failing_answers, 2, at(250ms));
+    CHECK_FALSE(request(1, at(300ms)));
+    CHECK_FALSE(request(1, at(1s)));
+    // A new flow could be the trial of "live", but the suspicion goes on.
+    CHECK_FALSE(request(1, at(3400ms)));
+    CHECK(site.steering().failing().suspected_count() == 1);
+}
+
 TEST_CASE(
     "a daemon reports silent targets only of data centres that it reaches")
 {
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -401,7 +401,15 @@
 std::span<const candidate> steerer::candidates_of(service_id service,
                                                   instant now)
 {
-    return candidates_for(service, nullptr, now);
+    const auto candidates = candidates_for(service, nullptr, now);
+    if (settings_.judges_answers)
+    {
+        // As for a request that is not idempotent, so that a suspected target
+        // whose trial is due is avoided, too.
+        failing_.adjust_trust(candidates_, {*view_, service, false}, now,
+                              evidence_);
+    }
+    return candidates;
 }
 
 void steerer::record_packet(const flow_packet& packet,
