Let openings without an answer count for three seconds each

own_silence::openings counted from the first unanswered opening on, as long as less than 3 s passed between packets to the target, so own evidence reported to peers could be much older than 3 s. The times of up to 32 unanswered openings are now kept for each target.

The new test fails before this change (2 openings instead of 1 after 3 s); all steering tests pass with it.

--- a/catkinkeel/steering/silent_targets.cpp
+++ b/catkinkeel/steering/silent_targets.cpp
@@ -110,11 +110,11 @@
 void silent_targets::record_unanswered_opening(target_id target, instant now)
 {
     target_record& record = targets_[target];
-    if (now - record.changed_at > max_silence_age)
+    if (record.openings.size() >= max_copies_of_target)
     {
-        record.openings = 0;
+        record.openings.erase(record.openings.begin());
     }
-    ++record.openings;
+    record.openings.push_back(now);
     record.changed_at = now;
 }
 
@@ -171,10 +171,10 @@
         evidence.flow_copies += each.flow == flow ? 1 : 0;
         evidence.several_flows |= run >= fatal_copies && !run_of_one_flow;
     }
-    if (now - found->second.changed_at <= max_silence_age)
-    {
-        evidence.openings = found->second.openings;
-    }
+    const std::vector<instant>& openings = found->second.openings;
+    evidence.openings = static_cast<std::uint32_t>(
+        openings.end() -
+        std::ranges::lower_bound(openings, now - max_silence_age));
     return evidence;
 }
 
--- a/catkinkeel/steering/silent_targets.hpp
+++ b/catkinkeel/steering/silent_targets.hpp
@@ -40,7 +40,7 @@
     /// Whether `fatal_copies` copies of at least two flows, sent to the target
     /// one directly after the other, were not answered.
     bool several_flows = false;
-    /// Opening packets without an answer.
+    /// Opening packets found to be unanswered, at most `max_copies_of_target`.
     std::uint32_t openings = 0;
 
     friend auto operator<=>(const own_silence&, const own_silence&) = default;
@@ -107,7 +107,8 @@
 /// second.
 inline constexpr duration opening_proof_age = 300ms;
 
-/// Packets that are kept for each target; the oldest are dropped.
+/// Packets that are kept for each target, and as many unanswered opening
+/// packets; the oldest are dropped.
 inline constexpr std::size_t max_copies_of_target = 32;
 
 /// Returns the first rule by which the flow is reset; empty if there is none.
@@ -174,7 +175,8 @@
     {
         /// In the order in which they were sent.
         std::vector<sent_copy> copies;
-        std::uint32_t openings = 0;
+        /// When opening packets were found to be unanswered, oldest first.
+        std::vector<instant> openings;
         /// When the last packet that was answered was forwarded.
         std::optional<instant> answered_sent_at;
         instant changed_at;
--- a/catkinkeel/steering/silent_targets_test.cpp
+++ b/catkinkeel/steering/silent_targets_test.cpp
@@ -315,6 +315,32 @@
     CHECK(own == own_silence{.flow_copies = 1, .target_copies = 3});
 }
 
+TEST_CASE("openings without an answer count for three seconds each")
+{
+    // Guards against evidence that other packets to the target keep alive, so
+    // that peers are told of openings which are long past.
+    silent_targets silence;
+    const auto openings = [&](instant now)
+    {
+        return silence.evidence_of({1}, {}, now).openings;
+    };
+    silence.record_unanswered_opening({1}, at(0s));
+    silence.record_unanswered_opening({1}, at(1s));
+    silence.record_other_packet({1}, at(2s));
+    CHECK(openings(at(3s)) == 2);
+    CHECK(openings(at(3001ms)) == 1);
+    silence.record_unanswered_opening({1}, at(3500ms));
+    CHECK(openings(at(4s)) == 2);
+    CHECK(openings(at(4001ms)) == 1);
+    for (std::size_t i = 0; i < 2 * max_copies_of_target; ++i)
+    {
+        silence.record_unanswered_opening({1}, at(5s));
+    }
+    CHECK(openings(at(5s)) == max_copies_of_target);
+    silence.record_sign_of_life({1}, {0}, std::nullopt, at(6s));
+    CHECK(openings(at(6s)) == 0);
+}
+
 TEST_CASE("answers to requests sent before the first copy do not show that the "
           "links of the daemon work")
 {
