End suspicions without new flows, so that targets_suspected returns to 0

Suspicions expired only when a new flow compared their target, and the packet thread reported changes only after a packet. The gauge kept its value for a service without flows and for targets that had left. Expired suspicions are now searched for once a second while there are any; the packet thread wakes up for this and adopts new views then, too. It sleeps as before if no target is suspected.

retain_targets_of no longer tries to erase the state of services: the catalog keeps the ids of services while the process runs, so nothing was ever erased.

Without the change of packet_duty, the new edge test fails (the gauge stays at 1).

--- a/catkinkeel/edge/evidence_test.cpp
+++ b/catkinkeel/edge/evidence_test.cpp
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -54,11 +55,15 @@
             std::make_shared<daemon_count_ring>(1),
             std::make_shared<event_channel>(), metrics);
     }
-    void report_silence()
+    void report(evidence_kind kind)
     {
-        pool.record_own(dead, evidence_kind::silence, 1, boot_now());
+        pool.record_own(dead, kind, 1, boot_now());
         exchange.pass_own(pool, boot_now());
     }
+    void report_silence()
+    {
+        report(evidence_kind::silence);
+    }
     evidence_summary received()
     {
         exchange.record_received(pool, boot_now());
@@ -225,6 +230,48 @@
         }));
 }
 
+TEST_CASE("the number of suspected targets returns to 0 without packets")
+{
+    // Guards against a gauge that shows suspected targets for ever when their
+    // service has no flows any more.
+    daemon_fixture site;
+    site.daemon.reset();
+    site.settings.shares_evidence = true;
+    site.settings.steering.judges_answers = true;
+    site.start(site.source);
+    steering::metadata_update update = make_site_update(site.socket->local());
+    site.source->enqueue(update);
+    REQUIRE(eventually([&] { return site.is_ready(); }));
+    std::array<sharing_peer, 2> peers;
+    for (sharing_peer& each : peers)
+    {
+        each.dead = {.identity = 1};
+        each.start({site.settings.peers.notice_endpoint});
+    }
+    std::uint32_t port = 1;
+    REQUIRE(eventually(
+        [&]
+        {
+            for (sharing_peer& each : peers)
+            {
+                each.report(evidence_kind::failing_answers);
+            }
+            site.send('n', ++port);
+            return has_metric(site, "catkinkeel_targets_suspected 1");
+        }));
+    // Until all packets have been handled.
+    while (!site.receive(100ms).empty())
+    {
+    }
+    auto restarted = std::get<steering::target_announced>(update.changes[1]);
+    restarted.target.identity = 2;
+    restarted.target.started_ms = 1;
+    site.source->enqueue(
+        steering::metadata_update{.revision = 11, .changes = {restarted}});
+    CHECK(eventually(
+        [&] { return has_metric(site, "catkinkeel_targets_suspected 0"); }));
+}
+
 TEST_CASE("a daemon that does not share evidence ignores what arrives")
 {
     // Guards against reports that change the decisions of daemons whose
--- a/catkinkeel/edge/packet_duty.cpp
+++ b/catkinkeel/edge/packet_duty.cpp
@@ -169,9 +169,7 @@
     }
     for (;;)
     {
-        const duration wait =
-            flow_log_.empty() ? max_receive_wait : flush_delay;
-        const receive_status status = socket_->receive(batch, wait);
+        const receive_status status = socket_->receive(batch, receive_wait());
         if (status == receive_status::stopped)
         {
             flow_log_.flush();
@@ -196,6 +194,16 @@
                     [&] { evidence_->pass_own(steerer_.evidence(), now_); });
             }
         }
+        else
+        {
+            // Suspicions end, and targets leave, also while no packets arrive.
+            run_duty_step("packets", *events_, *metrics_,
+                          [&]
+                          {
+                              adopt_views();
+                              report_suspicions();
+                          });
+        }
         flow_log_.flush_if_due(now_);
     }
 }
@@ -466,6 +474,7 @@
 
 void packet_duty::report_suspicions()
 {
+    steerer_.failing().end_expired(*steerer_.view(), now_, steerer_.evidence());
     const auto changes = steerer_.failing().take_changes();
     for (const steering::suspicion_change& each : changes)
     {
@@ -481,6 +490,16 @@
     }
 }
 
+duration packet_duty::receive_wait() const
+{
+    if (!flow_log_.empty())
+    {
+        return flush_delay;
+    }
+    return steerer_.failing().suspected_count() > 0 ? steering::expiry_interval
+                                                    : max_receive_wait;
+}
+
 std::string packet_duty::view_age() const
 {
     const auto& view = steerer_.view();
--- a/catkinkeel/edge/packet_duty.hpp
+++ b/catkinkeel/edge/packet_duty.hpp
@@ -106,6 +106,8 @@
     void report_admission();
     /// Reports the targets that are suspected from now on, or no longer.
     void report_suspicions();
+    /// Longest time to wait for packets.
+    [[nodiscard]] duration receive_wait() const;
     /// Makes the newest view from the ring the current one.
     void adopt_views();
     packet_storage& next_storage();
--- a/catkinkeel/edge/test_daemon.hpp
+++ b/catkinkeel/edge/test_daemon.hpp
@@ -106,8 +106,9 @@
 };
 
 /// Codec of test packets: one byte, 'o' for an opening packet, 'q' for one with
-/// data or 'd' for any other, and the token. A packet that begins with 'x'
-/// makes it throw.
+/// data or 'd' for any other, and the token. 'n' is an opening packet with the
+/// caller's port in place of the token. A packet that begins with 'x' makes it
+/// throw.
 class test_codec : public packet_codec
 {
 public:
@@ -126,6 +127,12 @@
         facts.opens = packet.bytes[0] == std::byte{'o'};
         facts.segment.data_bytes = packet.bytes[0] == std::byte{'q'} ? 100 : 0;
         std::memcpy(&facts.token.value, packet.bytes.data() + 1, 4);
+        if (packet.bytes[0] == std::byte{'n'})
+        {
+            facts.opens = true;
+            facts.key.caller.port =
+                static_cast<std::uint16_t>(facts.token.value);
+        }
         return facts;
     }
     [[nodiscard]] outgoing_datagram
--- a/catkinkeel/steering/failing_targets.cpp
+++ b/catkinkeel/steering/failing_targets.cpp
@@ -76,8 +76,28 @@
         end_suspicion(each->second, suspicion_cause::target_left);
         each = targets_.erase(each);
     }
-    std::erase_if(services_, [&](const auto& each)
-                  { return each.first.value >= view.parts().services.size(); });
+}
+
+void failing_targets::end_expired(const steering_view& view, instant now,
+                                  const evidence_pool& pool)
+{
+    if (suspected_count_ == 0 || now - expired_at_ < expiry_interval)
+    {
+        return;
+    }
+    expired_at_ = now;
+    for (auto& [id, state] : targets_)
+    {
+        if (!state.suspected || !is_expired(*state.suspected, now))
+        {
+            continue;
+        }
+        const view_target* target = view.find_target(id);
+        if (target == nullptr || !sufficient_evidence(*target, now, pool))
+        {
+            end_suspicion(state, suspicion_cause::expired);
+        }
+    }
 }
 
 failing_targets::target_state& failing_targets::entry(const view_target& target,
@@ -109,6 +129,11 @@
     return !state.suspected && now - state.failed_at > relapse_period;
 }
 
+bool failing_targets::is_expired(const suspicion& current, instant now)
+{
+    return now - current.avoid_until > suspicion_lifetime;
+}
+
 void failing_targets::record_answer(const view_target& target,
                                     answer_verdict verdict, instant sent_at,
                                     instant now, evidence_pool& pool)
@@ -261,7 +286,7 @@
     }
     suspicion& current = *found->second.suspected;
     current.trial_due = true;
-    if (now - current.avoid_until > suspicion_lifetime)
+    if (is_expired(current, now))
     {
         end_suspicion(found->second, suspicion_cause::expired);
         return target_trust::trusted;
--- a/catkinkeel/steering/failing_targets.hpp
+++ b/catkinkeel/steering/failing_targets.hpp
@@ -69,6 +69,9 @@
 inline constexpr std::size_t max_failing_targets = 1024;
 inline constexpr std::size_t max_suspicion_changes = 256;
 
+/// Shortest time between two searches for expired suspicions.
+inline constexpr duration expiry_interval = 1s;
+
 /// The new flow for which targets are assessed.
 struct new_flow
 {
@@ -100,6 +103,12 @@
     void adjust_trust(std::span<candidate> candidates, const new_flow& flow,
                       instant now, const evidence_pool& pool);
 
+    /// Ends the suspicions of which nothing has been seen for long. New flows
+    /// do not end those of targets that are no candidates, or of services
+    /// without flows. Does so at most once per `expiry_interval`.
+    void end_expired(const steering_view& view, instant now,
+                     const evidence_pool& pool);
+
     /// Whether a suspicion of `target` is in effect.
     [[nodiscard]] bool is_avoided(const view_target& target) const;
 
@@ -166,6 +175,8 @@
     target_state& entry(const view_target& target, instant now);
     [[nodiscard]] static bool has_recovered(const target_state& state,
                                             instant now);
+    /// Whether the suspicion ends unless there is new evidence.
+    [[nodiscard]] static bool is_expired(const suspicion& current, instant now);
     void record_deficient(const view_target& target, instant sent_at,
                           instant now, evidence_pool& pool);
     void record_usual(const view_target& target, instant sent_at, instant now,
@@ -191,10 +202,12 @@
     void add_change(const target_state& state, suspicion_cause cause);
 
     std::unordered_map<target_id, target_state> targets_;
+    /// Entries stay, as services stay in the view while the process runs.
     std::unordered_map<service_id, service_state> services_;
     std::size_t suspected_count_ = 0;
     std::vector<suspicion_change> changes_;
     std::vector<target_trust> assessed_;
+    instant expired_at_;
 };
 
 } // namespace catkinkeel::steering
--- a/catkinkeel/steering/failing_targets_test.cpp
+++ b/catkinkeel/steering/failing_targets_test.cpp
@@ -132,3 +132,31 @@
     // Peers are not told of the failures before it, which have expired.
     CHECK(daemon.pool.take_outgoing().empty());
 }
+
+TEST_CASE("a suspicion expires though no new flow assesses its target")
+{
+    // Guards against a count of suspected targets that stays for ever when a
+    // service has no flows any more.
+    failing_fixture daemon;
+    daemon.answer(0, true, at(1s));
+    daemon.answer(0, true, at(1s));
+    daemon.report(1, 1, at(1s));
+    daemon.report(2, 1, at(1s));
+    daemon.trust(1, at(1s));
+    const auto suspected = [&](instant now)
+    {
+        daemon.failing.end_expired(daemon.view, now, daemon.pool);
+        return daemon.failing.suspected_count();
+    };
+    daemon.report(1, 1, at(12s));
+    daemon.report(2, 1, at(12s));
+    CHECK(suspected(at(13s)) == 2);
+    // At most one search a second.
+    CHECK(suspected(at(13500ms)) == 2);
+    // Target 1 is still reported.
+    CHECK(suspected(at(14s)) == 1);
+    CHECK(daemon.failing.take_changes().back().cause ==
+          suspicion_cause::expired);
+    CHECK(suspected(at(15s)) == 0);
+    CHECK(daemon.trust(1, at(15s)) == target_trust::trusted);
+}
--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -264,6 +264,10 @@
     {
         return failing_;
     }
+    [[nodiscard]] const failing_targets& failing() const
+    {
+        return failing_;
+    }
     [[nodiscard]] late_openings& late()
     {
         return late_;
