--- a/catkinkeel/edge/packet_duty.cpp
+++ b/catkinkeel/edge/packet_duty.cpp
@@ -474,7 +474,10 @@
 
 void packet_duty::report_suspicions()
 {
-    steerer_.failing().end_expired(*steerer_.view(), now_, steerer_.evidence());
+    if (const auto& view = steerer_.view())
+    {
+        steerer_.failing().end_expired(*view, now_, steerer_.evidence());
+    }
     const auto changes = steerer_.failing().take_changes();
     for (const steering::suspicion_change& each : changes)
     {
