Sample the candidates for a new flow in services of more than 256 targets

In such a service a new flow compared a random range of 256 targets, and the cost rose with the size of the service.

Change: `candidate_sampler` draws 48 targets of the own data centre and 16 of the others without replacement, and as many again if none of them is trusted and not cold. `steering_view` orders the eligible targets of these services by data centre.

The sample is no fair one, so each candidate states for how many targets it stands. The estimate of a service's slots and the share of suspected targets use this; otherwise the suspicions would be ignored when all targets of the own data centre fail.

--- a/bench/steering_bench.cpp
+++ b/bench/steering_bench.cpp
@@ -19,6 +19,7 @@
 using namespace catkinkeel::steering;
 
 constexpr std::uint16_t public_port = 443;
+constexpr std::int64_t data_centre_count = 16;
 
 std::string routes_document(std::int64_t count)
 {
@@ -53,15 +54,15 @@
     for (std::int64_t i = 0; i < target_count; ++i)
     {
         const auto number = static_cast<std::uint32_t>(i + 1);
-        update.changes.emplace_back(
-            target_announced{{.name = "i-" + std::to_string(number),
-                              .identity = number,
-                              .service = "orderdesk",
-                              .address = {{0x0a000000U + number}, 8080},
-                              .data_centre = "dc-" + std::to_string(i % 5),
-                              .slots = 2,
-                              .heartbeat = 1,
-                              .started_ms = 1000}});
+        update.changes.emplace_back(target_announced{
+            {.name = "i-" + std::to_string(number),
+             .identity = number,
+             .service = "orderdesk",
+             .address = {{0x0a000000U + number}, 8080},
+             .data_centre = "dc-" + std::to_string(i % data_centre_count),
+             .slots = 2,
+             .heartbeat = 1,
+             .started_ms = 1000}});
     }
     return update;
 }
@@ -107,14 +108,20 @@
     }
 }
 
+steerer make_steerer(std::int64_t target_count)
+{
+    steerer result({.data_centre = "dc-0"},
+                   std::make_shared<least_cost_policy>(selection_weights{}),
+                   random_source(1));
+    result.replace_view(std::make_shared<const steering_view>(
+        make_catalog(target_count, 20).make_view()));
+    return result;
+}
+
+/// Targets answer no flow, so more and more of them are avoided.
 void place_new_flow(benchmark::State& state)
 {
-    const catalog metadata = make_catalog(state.range(0), 20);
-    steerer under_test({.data_centre = "dc-0"},
-                       std::make_shared<least_cost_policy>(selection_weights{}),
-                       random_source(1));
-    under_test.replace_view(
-        std::make_shared<const steering_view>(metadata.make_view()));
+    steerer under_test = make_steerer(state.range(0));
     flow_packet packet{.key = {{{1}, 1}, {{0xc6120000U}, public_port}},
                        .opens = true};
     instant now(2s);
@@ -128,6 +135,36 @@
     }
 }
 
+/// Targets answer; each flow consists of the opening packet, the caller's first
+/// packet and its abort. `nearby` is the share of flows in the daemon's own
+/// data centre.
+void place_answered_flow(benchmark::State& state)
+{
+    steerer under_test = make_steerer(state.range(0));
+    flow_packet packet{.key = {{{1}, 1}, {{0xc6120000U}, public_port}}};
+    instant now(2s);
+    std::int64_t nearby = 0;
+    for (auto _ : state)
+    {
+        packet.opens = true;
+        packet.aborts = false;
+        ++packet.key.caller.address.value;
+        now += 5ms;
+        const auto result = under_test.decide(packet, now);
+        const auto& to = std::get<forward>(result.decision);
+        under_test.record_sent(now);
+        packet.opens = false;
+        packet.token = to.token;
+        under_test.decide(packet, now + 1ms);
+        packet.aborts = true;
+        under_test.decide(packet, now + 2ms);
+        under_test.process_timeouts(now + 2ms);
+        nearby += to.identity % data_centre_count == 1 ? 1 : 0;
+    }
+    state.counters["nearby"] =
+        static_cast<double>(nearby) / static_cast<double>(state.iterations());
+}
+
 } // namespace
 
 BENCHMARK(decode_configuration)->Arg(20)->Arg(1420);
@@ -138,3 +175,4 @@
     ->Args({3000, 20})
     ->Args({24000, 6100});
 BENCHMARK(place_new_flow)->Arg(20)->Arg(300)->Arg(3000)->Arg(24000);
+BENCHMARK(place_answered_flow)->Arg(20)->Arg(300)->Arg(3000)->Arg(24000);
--- a/catkinkeel/steering/failing_targets.cpp
+++ b/catkinkeel/steering/failing_targets.cpp
@@ -46,7 +46,7 @@
 constexpr std::uint32_t clearing_answers = 4;
 
 /// Suspicions of more than one target in this many are ignored.
-constexpr std::size_t ignored_part = 3;
+constexpr double ignored_part = 3;
 
 } // namespace
 
@@ -203,21 +203,23 @@
                                    const evidence_pool& pool)
 {
     assessed_.clear();
-    std::size_t suspected = 0;
+    double total = 0;
+    double suspected = 0;
     for (const candidate& each : candidates)
     {
+        total += each.represents;
         const view_target& target = flow.view.parts().targets[each.index];
         target_trust trust = assess(target, now, pool);
         const auto state = targets_.find(target.id);
         if (state != targets_.end() && state->second.suspected)
         {
-            ++suspected;
+            suspected += each.represents;
             // A request that must not be repeated is no trial.
             trust = flow.idempotent ? trust : target_trust::avoided;
         }
         assessed_.push_back(trust);
     }
-    const bool ignored = suspected * ignored_part > candidates.size();
+    const bool ignored = suspected * ignored_part > total;
     if (ignored || services_.contains(flow.service))
     {
         services_[flow.service].ignores_suspicions = ignored;
--- a/catkinkeel/steering/failing_targets.hpp
+++ b/catkinkeel/steering/failing_targets.hpp
@@ -95,8 +95,8 @@
     void opening_sent(target_id target, instant now);
 
     /// Lowers the trust in suspected candidates. If more than a third of the
-    /// candidates are suspected, nothing is changed: they shed load, or the
-    /// service has changed.
+    /// targets for which the candidates stand are suspected, nothing is
+    /// changed: they shed load, or the service has changed.
     void adjust_trust(std::span<candidate> candidates, const new_flow& flow,
                       instant now, const evidence_pool& pool);
 
--- a/catkinkeel/steering/failing_targets_test.cpp
+++ b/catkinkeel/steering/failing_targets_test.cpp
@@ -40,12 +40,15 @@
                          now);
     }
 
-    target_trust trust(std::uint32_t index, instant now, bool idempotent = true)
+    /// All candidates but the first four stand for `represented` targets each.
+    target_trust trust(std::uint32_t index, instant now, bool idempotent = true,
+                       double represented = 1)
     {
         std::vector<candidate> candidates(10);
         for (std::uint32_t i = 0; i < 10; ++i)
         {
             candidates[i].index = i;
+            candidates[i].represents = i < 4 ? 1 : represented;
         }
         failing.adjust_trust(candidates, {view, {}, idempotent}, now, pool);
         return candidates[index].trust;
@@ -132,3 +135,17 @@
     // Peers are not told of the failures before it, which have expired.
     CHECK(daemon.pool.take_outgoing().empty());
 }
+
+TEST_CASE("a candidate of a sample counts as the targets for which it stands")
+{
+    // Guards against ignoring the suspicions when all targets of the own data
+    // centre fail, which are most candidates of a large service.
+    failing_fixture daemon;
+    for (std::uint32_t i = 0; i < 4; ++i)
+    {
+        daemon.report(1, i, at(1s));
+        daemon.report(2, i, at(1s));
+    }
+    CHECK(daemon.trust(0, at(1s), true, 10) == target_trust::avoided);
+    CHECK(daemon.trust(0, at(1s), true, 1) == target_trust::trusted);
+}
--- a/catkinkeel/steering/selection.hpp
+++ b/catkinkeel/steering/selection.hpp
@@ -34,6 +34,9 @@
     bool cold_limited = false;
     /// Exchange time divided by the mean of all candidates; 1 if unknown.
     double slowness = 1;
+    /// Number of the service's eligible targets for which it stands; above 1 if
+    /// only a sample of them are candidates.
+    double represents = 1;
 
     friend auto operator<=>(const candidate&, const candidate&) = default;
 };
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace catkinkeel::steering
@@ -12,6 +13,9 @@
 namespace
 {
 
+/// A new flow compares at most this many samples of a large service's targets.
+constexpr std::size_t max_samples = 2;
+
 forward to_target(const view_target& target)
 {
     return {target.id, target.address, target.identity, target.token};
@@ -34,6 +38,12 @@
     return count == 0 ? std::nullopt : std::optional(sum / count);
 }
 
+/// `total` for each one of `part`, of which there is at least one.
+double ratio(std::size_t total, std::size_t part)
+{
+    return static_cast<double>(total) / static_cast<double>(part);
+}
+
 double slowness(const target_load& load, const std::optional<duration>& mean)
 {
     if (!load.exchange_time || !mean || mean->count() <= 0)
@@ -44,6 +54,18 @@
            static_cast<double>(mean->count());
 }
 
+/// Slots of the service's eligible targets; an estimate if not all of them are
+/// candidates.
+std::uint64_t slots_of(std::span<const candidate> candidates)
+{
+    double slots = 0;
+    for (const candidate& each : candidates)
+    {
+        slots += each.slots * each.represents;
+    }
+    return static_cast<std::uint64_t>(std::llround(slots));
+}
+
 /// The decision on an opening packet that is not admitted.
 steering_decision decision_on(admission verdict)
 {
@@ -193,7 +215,7 @@
     const bool late = settings_.limits_late_openings &&
                       is_late(packet.retransmission, reference.terms);
     if (late && tracked == nullptr &&
-        !late_.may_start(service, slots_of(service, candidates)))
+        !late_.may_start(service, slots_of(candidates)))
     {
         // Dropped and not refused: a caller that is refused comes back at once,
         // as an original.
@@ -251,18 +273,6 @@
     return reference.weighted_services.back().service;
 }
 
-std::uint64_t steerer::slots_of(service_id service,
-                                std::span<const candidate> candidates) const
-{
-    std::uint64_t slots = 0;
-    for (const candidate& each : candidates)
-    {
-        slots += each.slots;
-    }
-    // Only a part of a large service's targets are candidates.
-    return slots * view_->eligible_targets(service).size() / candidates.size();
-}
-
 void steerer::record_late(const flow_key& key, service_id service)
 {
     tracked_flow* flow = flows_.find(key);
@@ -278,39 +288,18 @@
                                                    instant now)
 {
     const auto eligible = view_->eligible_targets(service);
-    const std::size_t count = std::min(eligible.size(), max_candidates);
-    const std::size_t first_position =
-        eligible.size() > max_candidates ? random_.below(eligible.size()) : 0;
     candidates_.clear();
     loads_.clear();
-    for (std::size_t i = 0; i < count; ++i)
-    {
-        const std::uint32_t index =
-            eligible[(first_position + i) % eligible.size()];
-        const view_target& target = view_->parts().targets[index];
-        const target_load load = observer_.load_of(target.id);
-        const bool cold = now < target.cold_until;
-        target_trust trust = observer_.trust_of(target, now);
-        const bool already_tried =
-            tracked != nullptr &&
-            (tracked->target == target.id ||
-             std::ranges::find(tracked->tried_targets, target.id) !=
-                 tracked->tried_targets.end());
-        if (already_tried || is_silent(target, now))
+    if (eligible.size() > max_candidates)
+    {
+        sample_candidates(service, tracked, now);
+    }
+    else
+    {
+        for (const std::uint32_t index : eligible)
         {
-            trust = target_trust::avoided;
+            add_candidate(index, tracked, now);
         }
-        const double limit =
-            view_->parts().services[service.value].max_cold_flows_per_second;
-        candidates_.push_back({.index = index,
-                               .trust = trust,
-                               .slots = std::max(target.slots, 1U),
-                               .in_flight = load.in_flight,
-                               .idle_flows = load.idle_flows,
-                               .nearby = own_data_centre_ == target.data_centre,
-                               .cold = cold,
-                               .cold_limited = cold && limit > 0});
-        loads_.push_back(load);
     }
     const auto mean = mean_exchange_time(loads_);
     for (std::size_t i = 0; i < candidates_.size(); ++i)
@@ -320,6 +309,73 @@
     return candidates_;
 }
 
+void steerer::sample_candidates(service_id service, const tracked_flow* tracked,
+                                instant now)
+{
+    const auto eligible = view_->eligible_targets(service);
+    const position_range nearby =
+        own_data_centre_ ? view_->eligible_range(service, *own_data_centre_)
+                         : position_range{};
+    const group_sizes sizes{nearby.count, eligible.size() - nearby.count};
+    sampler_.begin(sizes);
+    for (std::size_t i = 0; i < max_samples && !has_good_candidate(); ++i)
+    {
+        for (const std::uint32_t position : sampler_.draw(random_))
+        {
+            // The nearby targets have the first positions; the others follow
+            // them, and wrap around.
+            add_candidate(eligible[(nearby.first + position) % eligible.size()],
+                          tracked, now);
+        }
+    }
+    const group_sizes drawn = sampler_.drawn();
+    for (candidate& each : candidates_)
+    {
+        each.represents = each.nearby ? ratio(sizes.nearby, drawn.nearby)
+                                      : ratio(sizes.others, drawn.others);
+    }
+}
+
+void steerer::add_candidate(std::uint32_t index, const tracked_flow* tracked,
+                            instant now)
+{
+    const view_target& target = view_->parts().targets[index];
+    const target_load load = observer_.load_of(target.id);
+    const bool cold = now < target.cold_until;
+    target_trust trust = observer_.trust_of(target, now);
+    const bool already_tried =
+        tracked != nullptr &&
+        (tracked->target == target.id ||
+         std::ranges::find(tracked->tried_targets, target.id) !=
+             tracked->tried_targets.end());
+    if (already_tried || is_silent(target, now))
+    {
+        trust = target_trust::avoided;
+    }
+    const double limit =
+        view_->parts().services[target.service.value].max_cold_flows_per_second;
+    candidates_.push_back({.index = index,
+                           .trust = trust,
+                           .slots = std::max(target.slots, 1U),
+                           .in_flight = load.in_flight,
+                           .idle_flows = load.idle_flows,
+                           .nearby = own_data_centre_ == target.data_centre,
+                           .cold = cold,
+                           .cold_limited = cold && limit > 0});
+    loads_.push_back(load);
+}
+
+bool steerer::has_good_candidate() const
+{
+    return std::ranges::any_of(
+        candidates_,
+        [&](const candidate& each)
+        {
+            return each.trust == target_trust::trusted && !each.cold &&
+                   !failing_.is_avoided(view_->parts().targets[each.index]);
+        });
+}
+
 void steerer::record_opening(const flow_packet& packet,
                              const view_target& target, instant now)
 {
--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -17,6 +17,7 @@
 #include "catkinkeel/base/time.hpp"
 #include "catkinkeel/steering/admission.hpp"
 #include "catkinkeel/steering/answer_statistics.hpp"
+#include "catkinkeel/steering/candidate_sampling.hpp"
 #include "catkinkeel/steering/cost_admission.hpp"
 #include "catkinkeel/steering/failing_targets.hpp"
 #include "catkinkeel/steering/flow_tracker.hpp"
@@ -224,10 +225,6 @@
                             const steerer_settings&) = default;
 };
 
-/// Maximum number of targets compared for one new flow. If a service has more,
-/// a random range of them is compared.
-inline constexpr std::size_t max_candidates = 256;
-
 /// Steers packets by the current view. Not thread-safe.
 class steerer
 {
@@ -334,10 +331,6 @@
                         instant now);
     /// Counts the flow as a late request of the service.
     void record_late(const flow_key& key, service_id service);
-    /// Slots of the service's eligible targets; an estimate if not all of them
-    /// are candidates.
-    [[nodiscard]] std::uint64_t
-    slots_of(service_id service, std::span<const candidate> candidates) const;
     [[nodiscard]] service_id
     choose_service(const flow_packet& packet,
                    const view_reference& reference) const;
@@ -346,6 +339,14 @@
     [[nodiscard]] std::span<const candidate>
     candidates_for(service_id service, const tracked_flow* tracked,
                    instant now);
+    /// Adds a sample of the service's eligible targets to the candidates.
+    void sample_candidates(service_id service, const tracked_flow* tracked,
+                           instant now);
+    void add_candidate(std::uint32_t index, const tracked_flow* tracked,
+                       instant now);
+    /// Whether a candidate is trusted and not cold. Suspicions count, although
+    /// they change `candidate::trust` only later.
+    [[nodiscard]] bool has_good_candidate() const;
     [[nodiscard]] bool is_view_fresh(instant now) const;
     void set_activity(tracked_flow& flow, flow_activity activity);
 
@@ -355,6 +356,7 @@
     std::shared_ptr<const steering_view> view_;
     std::vector<candidate> candidates_;
     std::vector<target_load> loads_;
+    candidate_sampler sampler_;
     std::optional<data_centre_id> own_data_centre_;
     target_observer observer_;
     evidence_pool evidence_;
--- a/catkinkeel/steering/view.cpp
+++ b/catkinkeel/steering/view.cpp
@@ -1,7 +1,10 @@
 #include "catkinkeel/steering/view.hpp"
 
+#include "catkinkeel/steering/candidate_sampling.hpp"
+
 #include <algorithm>
 #include <array>
+#include <numeric>
 #include <tuple>
 #include <utility>
 
@@ -55,17 +58,44 @@
 
 void steering_view::index_eligible_targets()
 {
-    eligible_targets_by_service_.resize(parts_.services.size());
+    eligible_by_service_.resize(parts_.services.size());
     for (std::uint32_t i = 0; i < parts_.targets.size(); ++i)
     {
         const view_target& target = parts_.targets[i];
         if (target.standing == target_standing::open)
         {
-            eligible_targets_by_service_.at(target.service.value).push_back(i);
+            eligible_by_service_.at(target.service.value).targets.push_back(i);
+        }
+    }
+    for (eligible_index& index : eligible_by_service_)
+    {
+        if (index.targets.size() > max_candidates)
+        {
+            order_by_data_centre(index);
         }
     }
 }
 
+void steering_view::order_by_data_centre(eligible_index& index) const
+{
+    // Two linear passes and no sort: a view is built for each change of a
+    // target.
+    std::vector<std::uint32_t>& begins = index.data_centre_begins;
+    begins.resize(parts_.data_centres.size() + 1);
+    for (const std::uint32_t target : index.targets)
+    {
+        ++begins.at(parts_.targets[target].data_centre.value + 1U);
+    }
+    std::partial_sum(begins.begin(), begins.end(), begins.begin());
+    std::vector<std::uint32_t> next = begins;
+    std::vector<std::uint32_t> ordered(index.targets.size());
+    for (const std::uint32_t target : index.targets)
+    {
+        ordered[next[parts_.targets[target].data_centre.value]++] = target;
+    }
+    index.targets = std::move(ordered);
+}
+
 const view_reference*
 steering_view::find_reference(const endpoint& address) const
 {
@@ -100,11 +130,28 @@
 std::span<const std::uint32_t>
 steering_view::eligible_targets(service_id service) const
 {
-    if (service.value >= eligible_targets_by_service_.size())
+    if (service.value >= eligible_by_service_.size())
+    {
+        return {};
+    }
+    return eligible_by_service_[service.value].targets;
+}
+
+position_range steering_view::eligible_range(service_id service,
+                                             data_centre_id data_centre) const
+{
+    if (service.value >= eligible_by_service_.size())
+    {
+        return {};
+    }
+    const std::vector<std::uint32_t>& begins =
+        eligible_by_service_[service.value].data_centre_begins;
+    if (data_centre.value + 1U >= begins.size())
     {
         return {};
     }
-    return eligible_targets_by_service_[service.value];
+    const std::uint32_t first = begins[data_centre.value];
+    return {first, begins[data_centre.value + 1U] - first};
 }
 
 const view_target* steering_view::find_target(target_id id) const
--- a/catkinkeel/steering/view.hpp
+++ b/catkinkeel/steering/view.hpp
@@ -117,6 +117,16 @@
     friend auto operator<=>(const view_data&, const view_data&) = default;
 };
 
+/// `count` consecutive positions.
+struct position_range
+{
+    std::size_t first = 0;
+    std::size_t count = 0;
+
+    friend auto operator<=>(const position_range&,
+                            const position_range&) = default;
+};
+
 /// Indexes a view for lookups by address, token and id. Immutable; safe to read
 /// from any thread.
 class steering_view
@@ -145,10 +155,17 @@
     find_target(const view_reference& reference, flow_token token) const;
 
     /// Returns indices into `parts().targets` of the targets of `service` that
-    /// receive new flows.
+    /// receive new flows. If there are more than `max_candidates`
+    /// (candidate_sampling.hpp), they are ordered by data centre, otherwise as
+    /// in `parts().targets`.
     [[nodiscard]] std::span<const std::uint32_t>
     eligible_targets(service_id service) const;
 
+    /// Returns where the targets of `data_centre` are in `eligible_targets`;
+    /// empty if these are not ordered by data centre.
+    [[nodiscard]] position_range
+    eligible_range(service_id service, data_centre_id data_centre) const;
+
     /// Returns null if the id is not in the view.
     [[nodiscard]] const view_target* find_target(target_id id) const;
 
@@ -164,8 +181,17 @@
         std::uint32_t target = 0;
     };
 
+    struct eligible_index
+    {
+        std::vector<std::uint32_t> targets;
+        /// If `targets` is ordered by data centre: where each data centre
+        /// begins, and the end of the last one. Indexed by `data_centre_id`.
+        std::vector<std::uint32_t> data_centre_begins;
+    };
+
     void index_tokens();
     void index_eligible_targets();
+    void order_by_data_centre(eligible_index& index) const;
 
     view_data parts_;
     std::map<endpoint, std::uint32_t> reference_indices_;
@@ -173,7 +199,7 @@
     std::vector<token_entry> token_entries_;
     std::map<target_id, std::uint32_t> target_indices_;
     /// Indexed by `service_id`.
-    std::vector<std::vector<std::uint32_t>> eligible_targets_by_service_;
+    std::vector<eligible_index> eligible_by_service_;
 };
 
 } // namespace catkinkeel::steering
