--- a/catkinkeel/base/time.hpp
+++ b/catkinkeel/base/time.hpp
@@ -34,7 +34,7 @@
 }
 
 /// Converts to whole milliseconds; a fraction is cut off.
-inline std::int64_t in_milliseconds(duration value)
+constexpr std::int64_t in_milliseconds(duration value)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
--- a/catkinkeel/edge/snapshot_json.cpp
+++ b/catkinkeel/edge/snapshot_json.cpp
@@ -80,14 +80,14 @@
     return parsed.value();
 }
 
-/// Reads an integer from `min` to the maximum of `Integer`, which `get` alone
-/// would truncate.
+/// Reads an integer from `min` to `max`, which must be values of `Integer`:
+/// `get` alone would truncate others.
 template <class Integer>
-Integer parse_integer(const json& value, std::uint64_t min = 0)
+Integer parse_integer(const json& value, std::uint64_t min = 0,
+                      std::uint64_t max = std::numeric_limits<Integer>::max())
 {
     if (!value.is_number_unsigned() || value.get<std::uint64_t>() < min ||
-        value.get<std::uint64_t>() >
-            static_cast<std::uint64_t>(std::numeric_limits<Integer>::max()))
+        value.get<std::uint64_t>() > max)
     {
         throw std::invalid_argument("number out of range");
     }
@@ -96,6 +96,8 @@
 
 target_announcement parse_target(const json& object)
 {
+    constexpr auto max_warm_up_ms =
+        static_cast<std::uint64_t>(in_milliseconds(max_target_warm_up));
     return {.name = object.at("name").get<std::string>(),
             .identity = parse_integer<std::uint64_t>(object.at("identity"), 1),
             .service = object.at("service").get<std::string>(),
@@ -104,9 +106,11 @@
             .state = object.at("draining").get<bool>()
                          ? announced_state::draining
                          : announced_state::ready,
-            .remaining_warm_up = std::chrono::milliseconds(
-                parse_integer<std::uint32_t>(object.at("warm_up_ms"))),
-            .slots = parse_integer<std::uint32_t>(object.at("slots"), 1),
+            .remaining_warm_up =
+                std::chrono::milliseconds(parse_integer<std::uint32_t>(
+                    object.at("warm_up_ms"), 0, max_warm_up_ms)),
+            .slots = parse_integer<std::uint32_t>(object.at("slots"), 1,
+                                                  max_target_slots),
             .started_ms = parse_integer<std::int64_t>(object.at("started_ms"))};
 }
 
--- a/catkinkeel/edge/snapshot_test.cpp
+++ b/catkinkeel/edge/snapshot_test.cpp
@@ -40,10 +40,19 @@
             CHECK_FALSE(parse_snapshot(text));
         }
     }
-    for (const char* value : {"0", "4294967298"})
+    for (const char* value : {"0", "1000001", "4294967298"})
     {
         CHECK_FALSE(parse_snapshot(replaced("slots", value)));
     }
+    CHECK_FALSE(parse_snapshot(replaced("warm_up_ms", "86400001")));
+    CHECK_FALSE(parse_snapshot(replaced("started_ms", "9223372036854775808")));
+    for (const auto& [name, value] :
+         {std::pair{"slots", "1000000"}, std::pair{"warm_up_ms", "86400000"},
+          std::pair{"started_ms", "9223372036854775807"}})
+    {
+        CAPTURE(name);
+        CHECK(parse_snapshot(replaced(name, value)));
+    }
     std::string low_priority = valid;
     const std::string terms = "[true,2,150,2000]";
     low_priority.replace(low_priority.find(terms), terms.size(),
--- a/catkinkeel/steering/objects.hpp
+++ b/catkinkeel/steering/objects.hpp
@@ -26,6 +26,11 @@
     draining
 };
 
+/// Limits on an announcement. A target with far more slots than it has would
+/// always seem to be the least loaded one.
+inline constexpr std::uint32_t max_target_slots = 1'000'000;
+inline constexpr duration max_target_warm_up = 24h;
+
 /// The announcement of one backend server.
 struct target_announcement
 {
@@ -40,7 +45,8 @@
     /// Remaining warm-up time, during which the target can't handle its full
     /// load.
     duration remaining_warm_up{};
-    /// Maximum number of requests processed concurrently; at least 1.
+    /// Maximum number of requests processed concurrently, from 1 to
+    /// `max_target_slots`.
     std::uint32_t slots = 1;
     /// Counter that grows with each announcement; a lower value than before
     /// means that the target was restarted. 0 if it is not known.
