--- a/catkinkeel/edge/edge_settings.hpp
+++ b/catkinkeel/edge/edge_settings.hpp
@@ -91,9 +91,14 @@
     std::vector<endpoint> snapshot_sources;
     /// From a snapshot request to the end of the header of its response.
     duration snapshot_timeout = 700ms;
-    /// The store is not read during a transfer, so it must be shorter than the
-    /// time in which a store that became reachable has to be followed again.
-    body_timeouts snapshot_transfer{.idle = 700ms, .total = 3s};
+    /// The store is not read during a transfer, so a store that became
+    /// reachable is not followed for up to this time. Snapshots up to 1.9 MB
+    /// have 3 s. Larger ones have the time that they need at 5 Mbit/s, which is
+    /// half of a link of 10 Mbit/s, since a peer sends two snapshots at once:
+    /// 9.3 s for 5.8 MB (24,000 targets behind 6,100 addresses). The maximum is
+    /// below the 11 s in which a change has to be in force at that size.
+    body_timeouts snapshot_transfer{
+        .idle = 700ms, .total = 3s, .min_rate = 625'000, .max_total = 10s};
 
     reading_settings reading;
     peer_settings peers;
--- a/catkinkeel/edge/snapshot_json.hpp
+++ b/catkinkeel/edge/snapshot_json.hpp
@@ -14,7 +14,8 @@
 /// Path of the snapshot on a daemon's control address.
 inline constexpr const char* snapshot_path = "/v1/snapshot";
 
-/// Largest snapshot, in bytes; 24,000 targets take about 5 MB.
+/// Largest snapshot, in bytes; 24,000 targets behind 6,100 addresses take
+/// 5.8 MB.
 inline constexpr std::size_t max_snapshot_bytes = 16UL * 1024 * 1024;
 
 std::string to_json(const steering::metadata_update& update);
--- a/catkinkeel/edge/snapshot_test.cpp
+++ b/catkinkeel/edge/snapshot_test.cpp
@@ -3,8 +3,12 @@
 
 #include "catkinkeel/edge/http_server.hpp"
 #include "catkinkeel/edge/snapshot_json.hpp"
+#include "catkinkeel/edge/snapshot_reader.hpp"
 #include "catkinkeel/edge/test_daemon.hpp"
+#include "catkinkeel/testing/slow_link.hpp"
 
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
 #include <catch2/catch.hpp>
 
 #include <atomic>
@@ -82,6 +86,123 @@
 namespace
 {
 
+/// A full update of the design size: 24,000 targets of 200 services behind
+/// 6,100 addresses, with names as long as the platform's.
+steering::metadata_update make_largest_update()
+{
+    constexpr std::uint32_t target_count = 24'000;
+    constexpr std::uint32_t reference_count = 6'100;
+    constexpr std::uint32_t service_count = 200;
+    const auto service_name = [](std::uint32_t i)
+    {
+        return "orders" + std::to_string(i % service_count) + "a";
+    };
+    steering::published_configuration configuration{.version = {4711}};
+    for (std::uint32_t i = 0; i < reference_count; ++i)
+    {
+        configuration.references.push_back(
+            {"route-" + std::to_string(i),
+             {{0xc6120000U + i}, 8443},
+             {{service_name(i), 90}, {service_name(i + 1), 10}},
+             {true, 2, 400ms, 2500ms}});
+    }
+    steering::metadata_update update{
+        .complete = true,
+        .revision = 123'456'789,
+        .changes = {steering::configuration_published{configuration}}};
+    constexpr std::uint64_t first_identity = 0x9e3779b97f4a7c15U;
+    for (std::uint32_t i = 0; i < target_count; ++i)
+    {
+        constexpr std::int64_t started_ms = 1'767'225'600'000;
+        update.changes.emplace_back(steering::target_announced{
+            {.name = "i-" + std::to_string(1'000'000'000'000'000 + i),
+             .identity = first_identity + i,
+             .service = service_name(i),
+             .address = {{0x0a800000U + i}, 8080},
+             .data_centre = "zilina-" + std::string(1, "abcd"[i % 4]),
+             .slots = 2,
+             .started_ms = started_ms + i}});
+    }
+    return update;
+}
+
+/// Answers one request with `body` at the rate of a link of 10 Mbit/s.
+class slow_snapshot_server
+{
+public:
+    explicit slow_snapshot_server(std::string body)
+        : thread_([this, body = std::move(body)] { serve(body); })
+    {
+    }
+    ~slow_snapshot_server()
+    {
+        thread_.join();
+    }
+    slow_snapshot_server(const slow_snapshot_server&) = delete;
+    slow_snapshot_server& operator=(const slow_snapshot_server&) = delete;
+
+    [[nodiscard]] endpoint address() const
+    {
+        return {any_loopback_port.address, acceptor_.local_endpoint().port()};
+    }
+
+private:
+    void serve(const std::string& body)
+    {
+        boost::system::error_code error;
+        asio::ip::tcp::socket socket(context_);
+        acceptor_.accept(socket, error);
+        asio::streambuf request;
+        asio::read_until(socket, request, "\r\n\r\n", error);
+        const std::string header =
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+            "Content-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n";
+        asio::write(socket, asio::buffer(header), error);
+        catkinkeel::testing::send_slowly(socket, body, 10);
+    }
+
+    asio::io_context context_;
+    asio::ip::tcp::acceptor acceptor_{context_,
+                                      {asio::ip::address_v4::loopback(), 0}};
+    std::thread thread_;
+};
+
+} // namespace
+
+TEST_CASE("a snapshot of the design size is read over a link of 10 Mbit/s")
+{
+    // Guards against a daemon on such a link that never gets a view while the
+    // store is unreachable: each transfer ended after 3 s and began anew.
+    const steering::metadata_update update = make_largest_update();
+    std::string text = to_json(update);
+    CAPTURE(text.size());
+    CHECK(text.size() > 5'500'000);
+    const slow_snapshot_server server(std::move(text));
+    const edge_settings defaults;
+    snapshot_reader reader({server.address()}, defaults.snapshot_timeout,
+                           defaults.snapshot_transfer);
+    const metadata_result result = reader.read();
+    const auto* failed = std::get_if<source_failure>(&result);
+    INFO((failed != nullptr ? failed->reason : ""));
+    REQUIRE(std::holds_alternative<steering::metadata_update>(result));
+    CHECK(std::get<steering::metadata_update>(result).changes.size() ==
+          update.changes.size());
+}
+
+TEST_CASE("only a large snapshot delays the next read of the store")
+{
+    // Guards against a daemon that ignores a store that became reachable while
+    // a peer sends a small snapshot slowly, or any snapshot without end.
+    const body_timeouts timeouts = edge_settings().snapshot_transfer;
+    CHECK(transfer_limit(timeouts, std::nullopt) == 3s);
+    CHECK(transfer_limit(timeouts, 1'800'000) == 3s);
+    CHECK(transfer_limit(timeouts, max_snapshot_bytes) == 10s);
+}
+
+namespace
+{
+
 /// A metadata source that, once `compacted`, fails two reads and then has lost
 /// its history.
 class compacted_source : public metadata_source
--- a/catkinkeel/http/http_client.cpp
+++ b/catkinkeel/http/http_client.cpp
@@ -132,7 +132,11 @@
             parser_.eager(true);
             if (parameters_.body)
             {
-                body_deadline_ = clock::now() + parameters_.body->total;
+                const auto length = parser_.content_length();
+                body_deadline_ = clock::now() +
+                                 transfer_limit(*parameters_.body,
+                                                length ? std::optional(*length)
+                                                       : std::nullopt);
             }
             read_body();
         }
@@ -255,6 +259,25 @@
     return names.at(static_cast<std::size_t>(kind));
 }
 
+duration transfer_limit(const body_timeouts& timeouts,
+                        std::optional<std::uint64_t> content_length)
+{
+    if (timeouts.min_rate == 0 || !content_length)
+    {
+        return timeouts.total;
+    }
+    // Lengths near 2^64 would overflow `duration`.
+    const double needed_seconds = static_cast<double>(*content_length) /
+                                  static_cast<double>(timeouts.min_rate);
+    if (needed_seconds >= in_seconds(timeouts.max_total))
+    {
+        return std::max(timeouts.total, timeouts.max_total);
+    }
+    return std::max(timeouts.total,
+                    std::chrono::duration_cast<duration>(
+                        std::chrono::duration<double>(needed_seconds)));
+}
+
 http_client::http_client() : state_(std::make_unique<state>()) {}
 
 http_client::~http_client() = default;
--- a/catkinkeel/http/http_client.hpp
+++ b/catkinkeel/http/http_client.hpp
@@ -64,11 +64,21 @@
     duration idle = 1s;
     /// From the end of the header to the last byte.
     duration total = 10s;
+    /// If not 0, a body whose announced size (Content-Length) takes longer than
+    /// `total` at this rate, in bytes per second, may take that long, up to
+    /// `max_total`.
+    std::uint64_t min_rate = 0;
+    duration max_total = 10s;
 
     friend auto operator<=>(const body_timeouts&,
                             const body_timeouts&) = default;
 };
 
+/// Returns the time limit on the whole body of a response with this
+/// Content-Length, if it has one.
+duration transfer_limit(const body_timeouts& timeouts,
+                        std::optional<std::uint64_t> content_length);
+
 /// A GET request and the limits on its response.
 struct http_request
 {
--- a/catkinkeel/http/http_client_test.cpp
+++ b/catkinkeel/http/http_client_test.cpp
@@ -9,6 +9,9 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <cstdint>
+#include <limits>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -220,9 +223,16 @@
     const auto slow = get_parts(600ms, {.idle = 10s, .total = 10s});
     REQUIRE(std::holds_alternative<http_response>(slow));
     CHECK(std::get<http_response>(slow).body == "{}");
+    // The body has 2 bytes.
+    const auto large = get_parts(
+        300ms, {.idle = 10s, .total = 20ms, .min_rate = 1, .max_total = 10s});
+    CHECK(std::holds_alternative<http_response>(large));
     for (const body_timeouts& body :
          {body_timeouts{.idle = 20ms, .total = 10s},
-          body_timeouts{.idle = 10s, .total = 20ms}})
+          body_timeouts{.idle = 10s, .total = 20ms},
+          body_timeouts{.idle = 10s, .total = 20ms, .min_rate = 1'000},
+          body_timeouts{
+              .idle = 10s, .total = 20ms, .min_rate = 1, .max_total = 30ms}})
     {
         const auto result = get_parts(600ms, body);
         REQUIRE(std::holds_alternative<http_failure>(result));
@@ -231,6 +241,24 @@
     }
 }
 
+// Guards against a limit that overflows for the largest length that a server
+// can announce, and against a small body that gets the time of a large one.
+TEST_CASE("the limit on a transfer follows the announced size")
+{
+    const body_timeouts timeouts{
+        .total = 3s, .min_rate = 1'000, .max_total = 10s};
+    CHECK(transfer_limit(timeouts, std::nullopt) == 3s);
+    CHECK(transfer_limit(timeouts, 0) == 3s);
+    CHECK(transfer_limit(timeouts, 3'000) == 3s);
+    CHECK(transfer_limit(timeouts, 4'500) == 4500ms);
+    CHECK(transfer_limit(timeouts, 10'001) == 10s);
+    CHECK(transfer_limit(timeouts, std::numeric_limits<std::uint64_t>::max()) ==
+          10s);
+    CHECK(transfer_limit({.total = 3s}, 1'000'000) == 3s);
+    CHECK(transfer_limit({.total = 3s, .min_rate = 1, .max_total = 1s}, 100) ==
+          3s);
+}
+
 // Guards against a refused connection that is reported as a faulty response.
 TEST_CASE("a port without a server is unreachable")
 {
