Report deferred openings by a reason of their own

Openings that are held back because they are late had the reason `overloaded`, so an on-call engineer could not tell them from those whose targets are busy. They are `deferred` now, in event 6013, packets_discarded_total and openings_not_admitted_total.

--- a/catkinkeel/edge/packet_duty.cpp
+++ b/catkinkeel/edge/packet_duty.cpp
@@ -42,6 +42,14 @@
     return reason == overloaded || reason == held_back || reason == out_of_time;
 }
 
+/// Whether an opening is dropped for this reason because of too little
+/// capacity.
+bool lacks_capacity(steering::discard_reason reason)
+{
+    using enum steering::discard_reason;
+    return reason == overloaded || reason == deferred;
+}
+
 } // namespace
 
 flow_log::flow_log(std::uint32_t max_lines_per_second,
@@ -348,11 +356,13 @@
                           packet_view /*bytes*/)
 {
     metrics_->discarded(discarded_packet.reason).Increment();
-    if (discarded_packet.reason == steering::discard_reason::overloaded)
+    if (lacks_capacity(discarded_packet.reason))
     {
         metrics_->count_not_admitted(
             steerer_.view()->find_reference(packet.key.service_side)->name,
-            "delayed");
+            discarded_packet.reason == steering::discard_reason::deferred
+                ? "deferred"
+                : "delayed");
     }
     if (flow_log_.try_admit(now_))
     {
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -95,7 +95,8 @@
 std::string_view to_string(discard_reason reason)
 {
     constexpr std::array<std::string_view, discard_reason_count> names{
-        "no_view", "unknown_reference", "unknown_token", "overloaded"};
+        "no_view", "unknown_reference", "unknown_token", "overloaded",
+        "deferred"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -220,7 +221,7 @@
     {
         // Dropped and not refused: a caller that is refused comes back at once,
         // as an original.
-        return {.decision = discard{discard_reason::overloaded}};
+        return {.decision = discard{discard_reason::deferred}};
     }
     const admission verdict = cost_admission_.decide(
         {.service = service,
--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -119,9 +119,12 @@
     unknown_token,
     /// Every target has more work than it can finish within the deadline of a
     /// request. The caller retransmits its opening packet later.
-    overloaded
+    overloaded,
+    /// The opening packet can't be answered in time any more, and as many such
+    /// requests are in flight as may be. The caller retransmits it later.
+    deferred
 };
-inline constexpr std::size_t discard_reason_count = 4;
+inline constexpr std::size_t discard_reason_count = 5;
 
 /// Drop the packet. The caller retransmits it, by when a newer view may be
 /// available.
