Count late requests until they end, and round their limit down

Change: a flow keeps its mark until its first request is answered and is counted whenever it is at work; the limit is rounded down; a full table leaves the number unknown; only a copy forwarded within the last attempt exempts; a place is free again when the caller's timeout has passed. The test of the slots of a large service now expects 17 in place of 18, since 17.5 is rounded down.

Tests of steering, edge and platform pass.

--- a/catkinkeel/edge/edge_settings.hpp
+++ b/catkinkeel/edge/edge_settings.hpp
@@ -51,6 +51,10 @@
     /// while it is not.
     duration hello_period_alone = 1s;
     duration hello_period = 15s;
+    /// Time from the start after which the number of known daemons counts.
+    /// Daemons that start together, after an outage, know few of each other at
+    /// first.
+    duration discovery_time = 10s;
     peer_table_settings table;
 
     friend auto operator<=>(const peer_settings&,
--- a/catkinkeel/edge/packet_duty.cpp
+++ b/catkinkeel/edge/packet_duty.cpp
@@ -259,7 +259,7 @@
     adopt_views();
     while (const auto count = daemon_counts_->try_pop())
     {
-        steerer_.late().set_daemon_count(*count);
+        steerer_.set_daemon_count(*count);
     }
     if (evidence_)
     {
--- a/catkinkeel/edge/packet_duty.hpp
+++ b/catkinkeel/edge/packet_duty.hpp
@@ -4,12 +4,12 @@
 // them on. It blocks only in the kernel and never spins.
 
 #include "catkinkeel/edge/catalog_duty.hpp"
+#include "catkinkeel/edge/daemon_count_ring.hpp"
 #include "catkinkeel/edge/edge_metrics.hpp"
 #include "catkinkeel/edge/edge_settings.hpp"
 #include "catkinkeel/edge/event_channel.hpp"
 #include "catkinkeel/edge/evidence_exchange.hpp"
 #include "catkinkeel/edge/packet_codec.hpp"
-#include "catkinkeel/edge/peers_duty.hpp"
 #include "catkinkeel/packet/udp_socket.hpp"
 #include "catkinkeel/steering/steerer.hpp"
 
--- a/catkinkeel/edge/peers_duty.cpp
+++ b/catkinkeel/edge/peers_duty.cpp
@@ -35,10 +35,6 @@
 /// a site of 60 daemons in three data centres these are 20 of 59.
 constexpr std::size_t nearby_report_fan_out = 16;
 constexpr std::size_t remote_report_fan_out = 2;
-/// Time from the start after which the number of known daemons counts. Daemons
-/// that start together, after an outage, know few of each other at first.
-constexpr duration discovery_time = 10s;
-
 /// Headers of IPv4 and UDP, charged for each datagram with reports.
 constexpr std::size_t datagram_header_bytes = 28;
 
@@ -364,7 +360,10 @@
 void peers_duty::send_daemon_count()
 {
     const auto count = static_cast<std::uint32_t>(table_.size() + 1);
-    if (count != sent_daemon_count_ && now_ - started_ >= discovery_time)
+    // A full table does not tell how many daemons there are.
+    if (count != sent_daemon_count_ &&
+        table_.size() < settings_.table.capacity &&
+        now_ - started_ >= settings_.discovery_time)
     {
         sent_daemon_count_ = count;
         daemon_counts_->push_newest(count);
--- a/catkinkeel/edge/peers_duty.hpp
+++ b/catkinkeel/edge/peers_duty.hpp
@@ -6,6 +6,7 @@
 
 #include "catkinkeel/base/random.hpp"
 #include "catkinkeel/edge/arrival_bound.hpp"
+#include "catkinkeel/edge/daemon_count_ring.hpp"
 #include "catkinkeel/edge/edge_metrics.hpp"
 #include "catkinkeel/edge/edge_settings.hpp"
 #include "catkinkeel/edge/event_channel.hpp"
@@ -40,9 +41,6 @@
 
 using peer_update_ring = bounded_ring<peer_update>;
 using confirmation_ring = bounded_ring<confirmation>;
-/// Number of daemons that this daemon knows, itself included, for the packet
-/// thread.
-using daemon_count_ring = bounded_ring<std::uint32_t>;
 
 /// Size of the rings of the peers thread. Only the newest entries are needed.
 inline constexpr std::size_t peer_ring_size = 4;
--- a/catkinkeel/edge/peers_test.cpp
+++ b/catkinkeel/edge/peers_test.cpp
@@ -172,6 +172,46 @@
         }));
 }
 
+TEST_CASE("the number of daemons is passed on while the table has room")
+{
+    // Guards against a limit on late openings that never learns how many
+    // daemons there are, or takes a full table for all of them.
+    const auto receiver = udp_socket::open(testing::any_loopback_port).value();
+    edge_settings settings;
+    settings.data_centre = "a";
+    settings.peers.notice_endpoint = receiver->local();
+    settings.peers.discovery_time = 0s;
+    settings.peers.table.capacity = 2;
+    const auto counts = std::make_shared<daemon_count_ring>(peer_ring_size);
+    const peers_duty duty(
+        settings, receiver, std::make_shared<confirmation_ring>(peer_ring_size),
+        std::make_shared<peer_update_ring>(peer_ring_size), nullptr, counts,
+        std::make_shared<event_channel>(), std::make_shared<edge_metrics>());
+    std::uint32_t newest = 0;
+    const auto receives_count = [&](std::uint32_t expected)
+    {
+        while (const auto count = counts->try_pop())
+        {
+            newest = *count;
+        }
+        return newest == expected;
+    };
+    CHECK(testing::eventually([&] { return receives_count(1); }));
+    std::vector<std::shared_ptr<udp_socket>> peers;
+    for (int i = 0; i < 2; ++i)
+    {
+        peers.push_back(udp_socket::open(testing::any_loopback_port).value());
+        const auto bytes =
+            encode_notice({.sender = {peers.back()->local(), "a"}}, boot_now());
+        const outgoing_datagram datagram{.to = receiver->local(),
+                                         .packet = {bytes}};
+        REQUIRE(peers.back()->send(std::span(&datagram, 1)) == 1);
+        CHECK(testing::eventually([&] { return receives_count(2); }));
+    }
+    std::this_thread::sleep_for(300ms);
+    CHECK(receives_count(2));
+}
+
 TEST_CASE("the newest state is read when the last confirmation gets too old")
 {
     // Guards against a confirmation that waits for the end of the read period.
--- a/catkinkeel/steering/candidate_sampling_test.cpp
+++ b/catkinkeel/steering/candidate_sampling_test.cpp
@@ -231,13 +231,13 @@
         1600, [](view_target& target)
         { target.slots = target.data_centre == own ? 20 : 1; });
     // 3,500 slots, half of them for 100 daemons: 17.5 late requests.
-    daemon.steering().late().set_daemon_count(100);
+    daemon.steering().set_daemon_count(100);
     int started = 0;
     for (int i = 0; i < 40; ++i)
     {
         started += daemon.open(at(1s), false, 1).selection ? 1 : 0;
     }
-    CHECK(started == 18);
+    CHECK(started == 17);
 }
 
 TEST_CASE("a service of 256 targets is compared as before sampling")
--- a/catkinkeel/steering/flow_tracker.hpp
+++ b/catkinkeel/steering/flow_tracker.hpp
@@ -8,6 +8,7 @@
 #include "catkinkeel/base/hash.hpp"
 #include "catkinkeel/base/identifier.hpp"
 #include "catkinkeel/base/time.hpp"
+#include "catkinkeel/steering/late_openings.hpp"
 #include "catkinkeel/steering/request_progress.hpp"
 
 #include <compare>
@@ -53,8 +54,10 @@
     instant opened_at;
     /// When the last opening packet was sent.
     instant last_opening_sent;
-    /// Set while the flow counts in `late_openings` of this service.
-    std::optional<service_id> late_at;
+    /// Set until the first request is answered, if its opening was late.
+    std::optional<late_request> late;
+    /// Whether `late` counts as a request in flight.
+    bool late_in_flight = false;
     /// Meaningful once established.
     request_progress request;
 
--- a/catkinkeel/steering/late_openings.cpp
+++ b/catkinkeel/steering/late_openings.cpp
@@ -3,6 +3,7 @@
 #include "catkinkeel/steering/admission.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace catkinkeel::steering
 {
@@ -21,31 +22,46 @@
     daemons_ = std::max(daemons, 1U);
 }
 
-bool late_openings::may_start(service_id service, std::uint64_t slots) const
+bool late_openings::may_start(service_id service, std::uint64_t slots,
+                              instant now) const
 {
     const double share =
         daemons_ ? max_late_share * static_cast<double>(slots) / *daemons_ : 1;
-    return in_flight(service) < std::max(share, 1.0);
+    return static_cast<double>(in_flight(service, now)) <
+           std::max(std::floor(share), 1.0);
 }
 
-void late_openings::request_started(service_id service)
+void late_openings::request_started(const late_request& request)
 {
-    ++in_flight_[service];
+    deadlines_[request.service].push_back(request.deadline);
 }
 
-void late_openings::request_ended(service_id service)
+void late_openings::request_ended(const late_request& request)
 {
-    const auto found = in_flight_.find(service);
-    if (found != in_flight_.end() && --found->second == 0)
+    const auto service = deadlines_.find(request.service);
+    if (service == deadlines_.end())
     {
-        in_flight_.erase(found);
+        return;
+    }
+    std::vector<instant>& deadlines = service->second;
+    const auto ended = std::ranges::find(deadlines, request.deadline);
+    if (ended != deadlines.end())
+    {
+        deadlines.erase(ended);
+    }
+    if (deadlines.empty())
+    {
+        deadlines_.erase(service);
     }
 }
 
-std::uint32_t late_openings::in_flight(service_id service) const
+std::size_t late_openings::in_flight(service_id service, instant now) const
 {
-    const auto found = in_flight_.find(service);
-    return found == in_flight_.end() ? 0 : found->second;
+    const auto found = deadlines_.find(service);
+    return found == deadlines_.end()
+               ? 0
+               : std::ranges::count_if(found->second, [now](instant deadline)
+                                       { return deadline > now; });
 }
 
 } // namespace catkinkeel::steering
--- a/catkinkeel/steering/late_openings.hpp
+++ b/catkinkeel/steering/late_openings.hpp
@@ -9,20 +9,23 @@
 // Example:
 //   late_openings late;
 //   if (is_deferrable(retransmission, terms) &&
-//       !late.may_start(service, slots))
+//       !late.may_start(service, slots, now))
 //   {
 //       drop the opening; its caller retransmits it
 //   }
-//   late.request_started(service);
-//   late.request_ended(service);  // answered, ended or expired
+//   late.request_started({service, now + terms.timeout});
+//   late.request_ended(request);  // answered, ended or expired
 
 #include "catkinkeel/base/identifier.hpp"
+#include "catkinkeel/base/time.hpp"
 #include "catkinkeel/steering/objects.hpp"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace catkinkeel::steering
 {
@@ -39,6 +42,17 @@
 [[nodiscard]] bool is_deferrable(std::uint32_t retransmission,
                                  const request_terms& terms);
 
+/// A request whose opening was late.
+struct late_request
+{
+    service_id service;
+    /// When its caller gives up. It is not in flight any more then, whatever
+    /// its target does.
+    instant deadline;
+
+    friend auto operator<=>(const late_request&, const late_request&) = default;
+};
+
 /// Counts the late requests in flight of this daemon's flows. Not thread-safe.
 class late_openings
 {
@@ -50,17 +64,18 @@
 
     /// Whether another late request of the service may start, if the eligible
     /// targets of the service have so many slots.
-    [[nodiscard]] bool may_start(service_id service, std::uint64_t slots) const;
+    [[nodiscard]] bool may_start(service_id service, std::uint64_t slots,
+                                 instant now) const;
 
-    void request_started(service_id service);
-    void request_ended(service_id service);
+    void request_started(const late_request& request);
+    void request_ended(const late_request& request);
 
-    /// Late requests in flight.
-    [[nodiscard]] std::uint32_t in_flight(service_id service) const;
+    /// Late requests of the service in flight.
+    [[nodiscard]] std::size_t in_flight(service_id service, instant now) const;
 
 private:
     std::optional<std::uint32_t> daemons_;
-    std::unordered_map<service_id, std::uint32_t> in_flight_;
+    std::unordered_map<service_id, std::vector<instant>> deadlines_;
 };
 
 } // namespace catkinkeel::steering
--- a/catkinkeel/steering/late_openings_test.cpp
+++ b/catkinkeel/steering/late_openings_test.cpp
@@ -58,6 +58,13 @@
         return std::get<forward>(decision);
     }
 
+    void send_data(std::uint16_t port, flow_token token, instant now)
+    {
+        steerer_.decide(
+            {.key = key(port), .token = token, .segment = {.data_bytes = 100}},
+            now);
+    }
+
     void abort(std::uint16_t port, flow_token token, instant now)
     {
         steerer_.decide({.key = key(port), .aborts = true, .token = token},
@@ -98,19 +105,24 @@
 {
     // Guards against a limit that each of many daemons takes for itself.
     late_openings late;
-    CHECK(late.may_start(orders, 40));
-    late.request_started(orders);
-    CHECK_FALSE(late.may_start(orders, 40));
-    CHECK(late.may_start(service_id{4}, 40));
+    const late_request first{orders, at(3s)};
+    const late_request second{orders, at(4s)};
+    CHECK(late.may_start(orders, 59, at(0s)));
+    late.request_started(first);
+    CHECK_FALSE(late.may_start(orders, 59, at(0s)));
+    CHECK(late.may_start(service_id{4}, 59, at(0s)));
     late.set_daemon_count(10);
-    CHECK(late.may_start(orders, 40));
-    late.request_started(orders);
-    CHECK_FALSE(late.may_start(orders, 40));
+    CHECK(late.may_start(orders, 59, at(0s)));
+    late.request_started(second);
+    CHECK_FALSE(late.may_start(orders, 59, at(0s)));
     late.set_daemon_count(1000);
-    CHECK_FALSE(late.may_start(orders, 40));
-    late.request_ended(orders);
-    late.request_ended(orders);
-    CHECK(late.may_start(orders, 40));
+    CHECK_FALSE(late.may_start(orders, 59, at(0s)));
+    late.request_ended(first);
+    CHECK_FALSE(late.may_start(orders, 59, at(0s)));
+    // Its caller has given up by then.
+    CHECK(late.may_start(orders, 59, at(4s)));
+    late.request_ended(second);
+    CHECK(late.may_start(orders, 59, at(0s)));
 }
 
 TEST_CASE("openings of an outage leave room for those that can be in time")
@@ -141,7 +153,7 @@
     CHECK(daemon.open(101, 2, at(400ms)));
     CHECK_FALSE(daemon.open(102, 2, at(400ms)));
     // With two daemons, half of the eight slots are two requests for each.
-    daemon.steering().late().set_daemon_count(2);
+    daemon.steering().set_daemon_count(2);
     CHECK(daemon.open(102, 2, at(400ms)));
     CHECK_FALSE(daemon.open(103, 2, at(400ms)));
 }
@@ -154,10 +166,28 @@
     REQUIRE(daemon.open(1, 0, at(0s)));
     REQUIRE(daemon.open(2, 2, at(100ms)));
     CHECK(daemon.open(1, 1, at(200ms)));
+    // The caller uses the port again for a new flow.
+    CHECK_FALSE(daemon.open(1, 2, at(2500ms)));
+}
+
+TEST_CASE("a late request keeps its place until it ends")
+{
+    // Guards against more late requests than the limit while targets answer
+    // slowly, and against a place that is never free again.
+    restarted_daemon daemon(true);
+    const auto late = daemon.open(1, 2, at(0s));
+    REQUIRE(late);
+    CHECK_FALSE(daemon.open(2, 2, at(50ms)));
+    daemon.steering().process_timeouts(at(100ms));
+    daemon.send_data(1, late->token, at(110ms));
+    CHECK_FALSE(daemon.open(2, 2, at(120ms)));
+    // Its caller's timeout is 3 s.
+    CHECK(daemon.open(2, 2, at(3s)));
 }
 
 TEST_CASE("late openings are not limited unless the settings ask for it")
 {
+    // Guards against a change of deployments that do not ask for the limit.
     restarted_daemon daemon(false);
     for (std::uint16_t i = 0; i < 8; ++i)
     {
--- a/catkinkeel/steering/steerer.cpp
+++ b/catkinkeel/steering/steerer.cpp
@@ -213,11 +213,14 @@
         return {.decision = refuse{refusal_reason::no_target}};
     }
     const candidate& selected = candidates[*position];
-    const bool deferrable =
-        settings_.limits_late_openings &&
-        is_deferrable(packet.retransmission, reference.terms);
-    if (deferrable && tracked == nullptr &&
-        !late_.may_start(service, slots_of(candidates)))
+    // An older record is of a former flow of the caller's port.
+    const bool forwarded_just_now =
+        tracked != nullptr &&
+        now - tracked->last_opening_sent < attempt_timeout;
+    const bool late = settings_.limits_late_openings &&
+                      is_deferrable(packet.retransmission, reference.terms);
+    if (late && !forwarded_just_now &&
+        !late_.may_start(service, slots_of(candidates), now))
     {
         // Dropped and not refused: a caller that is refused comes back at once,
         // as an original.
@@ -235,9 +238,9 @@
     }
     const view_target& target = view_->parts().targets[selected.index];
     record_opening(packet, target, now);
-    if (deferrable)
+    if (late)
     {
-        record_late(packet.key, service);
+        record_late(packet.key, {service, now + reference.terms.timeout});
     }
     failing_.opening_sent(target.id, now);
     const auto avoided = std::ranges::count(candidates, target_trust::avoided,
@@ -275,13 +278,35 @@
     return reference.weighted_services.back().service;
 }
 
-void steerer::record_late(const flow_key& key, service_id service)
+void steerer::record_late(const flow_key& key, const late_request& request)
 {
     tracked_flow* flow = flows_.find(key);
-    if (flow != nullptr && !flow->late_at)
+    if (flow != nullptr && !flow->late)
     {
-        flow->late_at = service;
-        late_.request_started(service);
+        flow->late = request;
+        count_late(*flow);
+    }
+}
+
+void steerer::count_late(tracked_flow& flow)
+{
+    if (!flow.late)
+    {
+        return;
+    }
+    const bool in_flight = flow.activity == flow_activity::at_work;
+    if (in_flight && !flow.late_in_flight)
+    {
+        late_.request_started(*flow.late);
+    }
+    else if (!in_flight && flow.late_in_flight)
+    {
+        late_.request_ended(*flow.late);
+    }
+    flow.late_in_flight = in_flight;
+    if (flow.activity == flow_activity::idle)
+    {
+        flow.late.reset();
     }
 }
 
@@ -611,12 +636,8 @@
 void steerer::set_activity(tracked_flow& flow, flow_activity activity)
 {
     observer_.activity_changed(flow.target, flow.activity, activity);
-    if (flow.late_at && activity != flow_activity::at_work)
-    {
-        late_.request_ended(*flow.late_at);
-        flow.late_at.reset();
-    }
     flow.activity = activity;
+    count_late(flow);
 }
 
 } // namespace catkinkeel::steering
--- a/catkinkeel/steering/steerer.hpp
+++ b/catkinkeel/steering/steerer.hpp
@@ -268,9 +268,10 @@
     {
         return failing_;
     }
-    [[nodiscard]] late_openings& late()
+    /// Sets the number of daemons that share the load, this one included.
+    void set_daemon_count(std::uint32_t daemons)
     {
-        return late_;
+        late_.set_daemon_count(daemons);
     }
     [[nodiscard]] std::size_t tracked_flows() const
     {
@@ -307,8 +308,11 @@
                                 const steering_result& result);
     void record_opening(const flow_packet& packet, const view_target& target,
                         instant now);
-    /// Counts the flow as a late request of the service.
-    void record_late(const flow_key& key, service_id service);
+    /// Marks the first request of the flow as late.
+    void record_late(const flow_key& key, const late_request& request);
+    /// Updates the count of late requests in flight after a change of the
+    /// flow's activity.
+    void count_late(tracked_flow& flow);
     [[nodiscard]] service_id
     choose_service(const flow_packet& packet,
                    const view_reference& reference) const;
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -74,7 +74,8 @@
         "\n  evacuation_ms: " + milliseconds_text(evacuation_limit) +
         "\n  flow_max_s: " + std::to_string(max_flow_lifetime / 1s) +
         "\nhash: \"" + std::string(routing_policy_name()) +
-        "\"\nforwarding_mode: \"echo\"\ncontracts: [health, recover]\nplatform:\n  "
+        "\"\nforwarding_mode: \"echo\"\ncontracts: [health, "
+        "recover]\nplatform:\n  "
         "address: " +
         quoted(proxy_endpoint(index)) + "  forwarding_mode: \"read\"\n";
     return text;
