--- a/catkinkeel/link/transport.cpp
+++ b/catkinkeel/link/transport.cpp
@@ -1,8 +1,7 @@
 #include "catkinkeel/link/transport.hpp"
 
-#include "catkinkeel/link/internal/push_socket.hpp"
-
 #include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
 #include <sodium.h>
 
 #include <algorithm>
@@ -14,17 +13,14 @@
 namespace catkinkeel
 {
 
-using internal::push_socket;
-
 namespace
 {
 
 // Larger than the maximum message size, so that this class can count an
 // oversized message; above this limit nng closes the connection.
 constexpr std::size_t max_receive_size_bytes = 65536;
-/// Minimum time between two sockets to one peer, which limits the sockets
-/// opened to a peer that accepts connections and closes them at once.
-constexpr duration min_reopen_interval = 100ms;
+constexpr nng_duration min_reconnect_delay_ms = 100;
+constexpr nng_duration max_reconnect_delay_ms = 2000;
 
 std::string url_of(const endpoint& address)
 {
@@ -53,20 +49,17 @@
 /// Closes sockets on a detached thread, because nng_close of nng 1.5.2 can
 /// block forever together with one of the timer threads of nng. The future
 /// becomes ready when all sockets are closed.
-std::future<void>
-close_in_background(std::vector<std::unique_ptr<push_socket>> push_sockets,
-                    std::optional<nng_socket> pull_socket = std::nullopt)
+std::future<void> close_in_background(std::vector<nng_socket> sockets)
 {
     std::promise<void> closed_promise;
     std::future<void> all_closed = closed_promise.get_future();
     std::thread(
-        [push_sockets_to_close = std::move(push_sockets), pull_socket,
+        [sockets_to_close = std::move(sockets),
          all_closed_promise = std::move(closed_promise)]() mutable
         {
-            push_sockets_to_close.clear();
-            if (pull_socket)
+            for (const nng_socket each : sockets_to_close)
             {
-                nng_close(*pull_socket);
+                nng_close(each);
             }
             all_closed_promise.set_value();
         })
@@ -162,15 +155,15 @@
     }
     {
         const std::lock_guard lock(mutex_);
-        std::vector<std::unique_ptr<push_socket>> push_sockets;
-        for (auto& [id, connection] : connections_)
+        std::vector<nng_socket> sockets;
+        for (const auto& [id, connection] : connections_)
         {
-            push_sockets.push_back(std::move(connection.socket));
+            sockets.push_back(connection.socket);
         }
+        sockets.push_back(pull_socket_);
         // Waits so that the caller can bind the address again. Only if
         // nng_close blocks does this return with sockets still open.
-        close_in_background(std::move(push_sockets), pull_socket_)
-            .wait_for(close_timeout);
+        close_in_background(std::move(sockets)).wait_for(close_timeout);
         connections_.clear();
     }
     inbox_->close();
@@ -273,7 +266,7 @@
 
 // Sends a hello or a welcome, with the priority of an urgent message. A frame
 // that exceeds the budget is dropped.
-void transport::send_control_frame(peer_connection& connection,
+void transport::send_control_frame(const peer_connection& connection,
                                    const byte_buffer& bytes)
 {
     const byte_count size{bytes.size()};
@@ -295,7 +288,6 @@
     }
     for (auto& [id, connection] : connections_)
     {
-        close_if_disconnected(connection);
         if (!connection.pending_messages.empty() &&
             (!connection.hello_sent_at ||
              now - *connection.hello_sent_at >= settings_.handshake_interval))
@@ -429,12 +421,14 @@
     }
 }
 
-send_result transport::send_frame(peer_connection& connection,
+send_result transport::send_frame(const peer_connection& connection,
                                   const byte_buffer& bytes)
 {
-    close_if_disconnected(connection);
-    if ((connection.socket == nullptr && !reopen_socket(connection)) ||
-        !connection.socket->send(bytes))
+    // nng copies the bytes. If the send queue is full, nng_send fails at once.
+    const int error =
+        nng_send(connection.socket, const_cast<std::uint8_t*>(bytes.data()),
+                 bytes.size(), NNG_FLAG_NONBLOCK);
+    if (error != 0)
     {
         ++counts_.queue_full;
         return send_result::queue_full;
@@ -458,47 +452,25 @@
         close_least_recently_used();
     }
     peer_connection connection;
-    connection.address = peers_.at(id);
     connection.last_used = ++use_counter_;
-    if (!open_socket(connection))
+    if (nng_push0_open(&connection.socket) != 0)
     {
         return nullptr;
     }
-    return &connections_.emplace(id, std::move(connection)).first->second;
-}
-
-bool transport::open_socket(peer_connection& connection)
-{
-    connection.socket =
-        push_socket::open(connection.address, settings_.send_queue_limit);
-    if (connection.socket == nullptr)
+    nng_socket_set_int(connection.socket, NNG_OPT_SENDBUF,
+                       settings_.send_queue_limit);
+    nng_socket_set_ms(connection.socket, NNG_OPT_RECONNMINT,
+                      min_reconnect_delay_ms);
+    nng_socket_set_ms(connection.socket, NNG_OPT_RECONNMAXT,
+                      max_reconnect_delay_ms);
+    if (nng_dial(connection.socket, url_of(peers_.at(id)).c_str(), nullptr,
+                 NNG_FLAG_NONBLOCK) != 0)
     {
-        return false;
+        nng_close(connection.socket);
+        return nullptr;
     }
-    connection.opened_at = latest_caller_time_;
     ++counts_.connections_opened;
-    return true;
-}
-
-bool transport::reopen_socket(peer_connection& connection)
-{
-    return latest_caller_time_ - connection.opened_at >= min_reopen_interval &&
-           open_socket(connection);
-}
-
-void transport::close_if_disconnected(peer_connection& connection)
-{
-    if (connection.socket != nullptr && connection.socket->is_disconnected())
-    {
-        close_socket(connection);
-    }
-}
-
-void transport::close_socket(peer_connection& connection)
-{
-    std::vector<std::unique_ptr<push_socket>> sockets;
-    sockets.push_back(std::move(connection.socket));
-    close_in_background(std::move(sockets));
+    return &connections_.emplace(id, std::move(connection)).first->second;
 }
 
 void transport::close_least_recently_used()
@@ -514,10 +486,10 @@
 
 void transport::close_connection(vm_id id)
 {
-    auto connection = connections_.extract(id);
-    if (!connection.empty() && connection.mapped().socket != nullptr)
+    const auto connection = connections_.extract(id);
+    if (!connection.empty())
     {
-        close_socket(connection.mapped());
+        close_in_background({connection.mapped().socket});
     }
 }
 
--- a/catkinkeel/link/transport.hpp
+++ b/catkinkeel/link/transport.hpp
@@ -1,9 +1,7 @@
 #pragma once
 
 // Sends and receives messages between VMs over nng, with one listening PULL
-// socket and a PUSH socket for each connected peer. If the peer closes the
-// connection, the next frame to it opens a new socket (see
-// internal/push_socket.hpp).
+// socket and a PUSH socket for each connected peer.
 //
 // Handshake: the MAC of a message covers the session token that the receiving
 // peer issued to this VM. While the token is missing, the transport queues
@@ -41,11 +39,6 @@
 namespace catkinkeel
 {
 
-namespace internal
-{
-class push_socket;
-}
-
 struct transport_settings
 {
     vm_id self;
@@ -146,11 +139,7 @@
 private:
     struct peer_connection
     {
-        endpoint address;
-        /// Null after the peer has closed the connection.
-        std::unique_ptr<internal::push_socket> socket;
-        /// Value of `latest_caller_time_` when the last socket was opened.
-        instant opened_at;
+        nng_socket socket = NNG_SOCKET_INITIALIZER;
         /// Value of `use_counter_` at the last use.
         std::uint64_t last_used = 0;
         /// Encoded messages that are queued until the session token of the peer
@@ -170,15 +159,11 @@
     send_result enqueue_pending(peer_connection& connection, vm_id to,
                                 byte_buffer body, instant now);
     void send_hello(peer_connection& connection, vm_id to, instant now);
-    void send_control_frame(peer_connection& connection,
+    void send_control_frame(const peer_connection& connection,
                             const byte_buffer& bytes);
-    send_result send_frame(peer_connection& connection,
+    send_result send_frame(const peer_connection& connection,
                            const byte_buffer& bytes);
     peer_connection* find_or_open_connection(vm_id id);
-    bool open_socket(peer_connection& connection);
-    bool reopen_socket(peer_connection& connection);
-    void close_if_disconnected(peer_connection& connection);
-    static void close_socket(peer_connection& connection);
     void close_least_recently_used();
     void close_connection(vm_id id);
     [[nodiscard]] bool is_known_peer(vm_id id) const;
