Review cases 6 and 7: let targets that are gone crash at the end

Cause: the cases showed the broken rule, but not what it costs.

Change: the targets crash for good when they should have had no new request for a while, and the scripts count requests that were accepted from late flows and lost. The service that is struck takes orders. A script that is ended also ends its daemons. The store sends at a limited speed where a case asks for it.

--- a/review/standins-2/adopted_targets.cc
+++ b/review/standins-2/adopted_targets.cc
@@ -1,6 +1,7 @@
 // Rule DRAIN. The store turns two daemons away while the entries of three
 // targets expire. See review/6/claim.txt.
 
+#include <algorithm>
 #include <iostream>
 #include <set>
 
@@ -12,8 +13,8 @@
     try
     {
         site deployment(small_deployment(), argc > 1 ? argv[1] : "record.txt");
-        const auto plates = deployment.targets_of("platefiles");
-        const std::set<unsigned> cut(plates.begin(), plates.begin() + 3);
+        const auto orders = deployment.targets_of("orderdesk");
+        const std::set<unsigned> cut(orders.begin(), orders.begin() + 3);
         const std::vector<unsigned> denied{3, 5};
         if (trouble())
         {
@@ -41,38 +42,49 @@
                                   deployment.deny_store(each, false);
                               }
                           });
-            deployment.at(24500ms,
-                          [&]
-                          {
-                              for (const unsigned each : cut)
-                              {
-                                  deployment.cut_from_store(each, false);
-                              }
-                          });
+            // The platform has seen no sign of them for 8 s and more.
+            milliseconds end = 24000ms;
+            for (const unsigned each : cut)
+            {
+                deployment.at(end, [&deployment, each]
+                              { deployment.crash_target(each); });
+                end += 300ms;
+            }
         }
         if (!deployment.run(30s))
         {
             std::cerr << "the deployment did not serve\n";
             return 2;
         }
-        unsigned late = 0;
-        for (const arrival& each : deployment.arrivals())
+        const auto is_late = [&](unsigned target, milliseconds opened)
         {
-            for (const absence& gone : deployment.absences())
+            return std::ranges::any_of(deployment.absences(),
+                                       [&](const absence& gone)
+                                       {
+                                           return gone.target == target &&
+                                                  opened < gone.until &&
+                                                  opened >
+                                                      gone.from + drain_bound;
+                                       });
+        };
+        const auto late = std::ranges::count_if(
+            deployment.arrivals(),
+            [&](const arrival& each)
             {
-                if (gone.target == each.target && each.at < gone.until &&
-                    each.at > gone.from + drain_bound &&
-                    deployment.in_touch(each.daemon, each.at))
-                {
-                    ++late;
-                }
-            }
-        }
-        deployment.record("DRAIN: " + std::to_string(late) +
-                          " opening packets of machines in touch reached a "
-                          "target later than 3000 ms after it was gone");
-        std::cout << "DRAIN: " << late << " late opening packets; absences "
-                  << deployment.absences().size() << '\n';
+                return is_late(each.target, each.at) &&
+                       deployment.in_touch(each.daemon, each.at);
+            });
+        const auto lost = std::ranges::count_if(
+            deployment.lost_requests(), [&](const lost_request& each)
+            { return is_late(each.target, each.opened); });
+        const std::string result =
+            "DRAIN: " + std::to_string(late) +
+            " opening packets of machines in touch reached a target later than "
+            "3000 ms after it was gone; " +
+            std::to_string(lost) +
+            " requests of such flows were accepted and lost";
+        deployment.record(result);
+        std::cout << result << '\n';
         if (trouble() && deployment.absences().size() < cut.size())
         {
             return 2;
--- a/review/standins-2/lapsed_targets.cc
+++ b/review/standins-2/lapsed_targets.cc
@@ -1,6 +1,7 @@
 // Rule DRAIN. The entries of three of a service's four targets expire at once.
 // See review/7/claim.txt.
 
+#include <algorithm>
 #include <iostream>
 #include <set>
 
@@ -15,27 +16,54 @@
         // "may be seconds old" (PROTOCOL.md)
         settings.replica_age = 2000ms;
         site deployment(settings, argc > 1 ? argv[1] : "record.txt");
-        const auto plates = deployment.targets_of("platefiles");
-        const std::set<unsigned> cut(plates.begin(), plates.begin() + 3);
+        const auto orders = deployment.targets_of("orderdesk");
+        const std::set<unsigned> cut(orders.begin(), orders.begin() + 3);
+        constexpr milliseconds last_round = 76s;
         if (trouble())
         {
             // The lateness depends on when the removal falls between two reads
             // of the store, so it is tried five times.
             for (const auto begin : {12s, 28s, 44s, 60s, 76s})
             {
-                for (const bool cut_now : {true, false})
+                deployment.at(begin,
+                              [&]
+                              {
+                                  for (const unsigned each : cut)
+                                  {
+                                      deployment.cut_from_store(each, true);
+                                  }
+                              });
+                if (begin < last_round)
                 {
-                    deployment.at(begin + (cut_now ? 0s : 10s),
-                                  [&deployment, &cut, cut_now]
+                    deployment.at(begin + 10s,
+                                  [&]
                                   {
                                       for (const unsigned each : cut)
                                       {
                                           deployment.cut_from_store(each,
-                                                                    cut_now);
+                                                                    false);
                                       }
                                   });
                 }
             }
+            // The last time the targets crash, one after the other, when they
+            // should have got no new flow for half a second.
+            deployment.at(last_round + 5s,
+                          [&]
+                          {
+                              milliseconds delay = drain_bound + 500ms;
+                              for (const absence& gone : deployment.absences())
+                              {
+                                  if (gone.from > last_round)
+                                  {
+                                      deployment.at(
+                                          gone.from + delay,
+                                          [&deployment, target = gone.target]
+                                          { deployment.crash_target(target); });
+                                      delay += 100ms;
+                                  }
+                              }
+                          });
         }
         if (!deployment.run(94s))
         {
@@ -57,11 +85,25 @@
                 }
             }
         }
+        const auto lost = std::ranges::count_if(
+            deployment.lost_requests(),
+            [&](const lost_request& each)
+            {
+                return std::ranges::any_of(
+                    deployment.absences(),
+                    [&](const absence& gone)
+                    {
+                        return gone.target == each.target &&
+                               each.opened < gone.until &&
+                               each.opened > gone.from + drain_bound;
+                    });
+            });
         const std::string result =
             "DRAIN: " + std::to_string(late) +
             " opening packets of machines in touch reached a target later than "
             "3000 ms after it was gone, the last one after " +
-            std::to_string(latest.count()) + " ms";
+            std::to_string(latest.count()) + " ms; " + std::to_string(lost) +
+            " requests of such flows were accepted and lost";
         deployment.record(result);
         std::cout << result << '\n';
         if (trouble() && deployment.absences().size() < cut.size())
--- a/review/standins-2/site.cc
+++ b/review/standins-2/site.cc
@@ -195,13 +195,13 @@
 {
     return {.zones = {"zilina-a", "zilina-b", "trnava-c"},
             .daemons_per_zone = 2,
-            .services = {{"orderdesk", {5, 5, 4}}, {"platefiles", {2, 1, 1}}},
-            .routes = {{"proof-view", "orderdesk", 8443, "safe", 2000, 150, 2,
+            .services = {{"platefiles", {5, 5, 4}}, {"orderdesk", {2, 1, 1}}},
+            .routes = {{"proof-view", "platefiles", 8443, "safe", 2000, 150, 2,
                         60, 22ms, 1000},
                        {"order-submit", "orderdesk", 8080, "unsafe", 2500, 150,
-                        1, 20, 29ms, 600},
+                        1, 80, 29ms, 600},
                        {"plate-download", "platefiles", 8444, "download", 8000,
-                        500, 2, 36, 5ms, 1100}},
+                        500, 2, 25, 5ms, 1100}},
             .replica_age = 0ms,
             .contracts = {"base", "drain", "config", "cost", "recover", "flows",
                           "places", "platform"}};
@@ -217,6 +217,7 @@
     void listen(unsigned daemon, const tcp::endpoint& local)
     {
         denied_.push_back(false);
+        link_free_at_.emplace_back();
         acceptors_.push_back(
             std::make_unique<tcp::acceptor>(site_.context_, local));
         accept(daemon);
@@ -225,13 +226,19 @@
     void put(const std::string& key, const std::string& value)
     {
         created_.emplace(key, revision_ + 1);
-        history_.push_back({++revision_, site_.now(), key, value});
+        ++revision_;
+        history_.push_back({revision_, site_.now(), key, value,
+                            item_text(key, value, revision_)});
     }
 
     void remove(const std::string& key)
     {
         created_.erase(key);
-        history_.push_back({++revision_, site_.now(), key, std::nullopt});
+        ++revision_;
+        history_.push_back(
+            {revision_, site_.now(), key, std::nullopt,
+             json{{"key", key}, {"revision", revision_}, {"removed", true}}
+                 .dump()});
     }
 
     [[nodiscard]] bool has(const std::string& key) const
@@ -251,6 +258,8 @@
         milliseconds at{};
         std::string key;
         std::optional<std::string> value;
+        /// The event as JSON.
+        std::string text;
     };
 
     struct session
@@ -262,6 +271,7 @@
         tcp::socket socket;
         asio::steady_timer timer;
         asio::streambuf request{8192};
+        unsigned daemon = 0;
         std::string path;
         std::string reply;
         clock::time_point deadline;
@@ -275,8 +285,10 @@
             {
                 if (!error)
                 {
-                    read(daemon, std::make_shared<session>(std::move(socket),
-                                                           site_.context_));
+                    const auto each = std::make_shared<session>(
+                        std::move(socket), site_.context_);
+                    each->daemon = daemon;
+                    read(daemon, each);
                 }
                 accept(daemon);
             });
@@ -326,16 +338,13 @@
         const std::uint64_t after = std::stoull(query(each->path, "after"));
         const std::uint64_t visible = visible_revision(each->path);
         const std::string prefix = decode_query(query(each->path, "prefix"));
-        json events = json::array();
+        std::string events;
         for (const change& item : history_)
         {
             if (item.revision > after && item.revision <= visible &&
                 item.key.starts_with(prefix))
             {
-                events.push_back(item.value ? to_item(item)
-                                            : json{{"key", item.key},
-                                                   {"revision", item.revision},
-                                                   {"removed", true}});
+                events += (events.empty() ? "" : ",") + item.text;
             }
         }
         if (events.empty() && clock::now() < each->deadline)
@@ -345,7 +354,8 @@
             return;
         }
         respond(each, 200,
-                json{{"events", std::move(events)}, {"as_of", visible}}.dump());
+                "{\"events\":[" + events +
+                    "],\"as_of\":" + std::to_string(visible) + "}");
     }
 
     std::string range(const std::string& path) const
@@ -361,7 +371,8 @@
                 state[item.key] = item.value ? &item : nullptr;
             }
         }
-        json items = json::array();
+        std::string items;
+        unsigned count = 0;
         bool more = false;
         for (const auto& [key, item] : state)
         {
@@ -369,16 +380,17 @@
             {
                 continue;
             }
-            more = items.size() >= 500;
+            more = count >= 500;
             if (more)
             {
                 break;
             }
-            items.push_back(to_item(*item));
+            ++count;
+            items += (items.empty() ? "" : ",") + item->text;
         }
-        return json{
-            {"items", std::move(items)}, {"has_more", more}, {"as_of", visible}}
-            .dump();
+        return "{\"items\":[" + items +
+               "],\"has_more\":" + (more ? "true" : "false") +
+               ",\"as_of\":" + std::to_string(visible) + "}";
     }
 
     [[nodiscard]] std::uint64_t visible_revision(const std::string& path) const
@@ -399,30 +411,63 @@
         return visible;
     }
 
-    static json to_item(const change& item)
+    static std::string item_text(const std::string& key,
+                                 const std::string& value,
+                                 std::uint64_t revision)
     {
-        return {{"key", item.key},
-                {"value", encode_base64(*item.value)},
-                {"revision", item.revision},
-                {"created", item.revision},
-                {"lease", 0}};
+        return json{{"key", key},
+                    {"value", encode_base64(value)},
+                    {"revision", revision},
+                    {"created", revision},
+                    {"lease", 0}}
+            .dump();
     }
 
-    static void respond(const session_pointer& each, int status,
-                        const std::string& body)
+    void respond(const session_pointer& each, int status,
+                 const std::string& body)
     {
         each->reply = "HTTP/1.1 " + std::to_string(status) +
                       " X\r\nContent-Type: application/json\r\n"
                       "Content-Length: " +
                       std::to_string(body.size()) +
                       "\r\nConnection: close\r\n\r\n" + body;
-        asio::async_write(each->socket, asio::buffer(each->reply),
-                          [each](error_code, std::size_t)
-                          {
-                              error_code ignored;
-                              each->socket.shutdown(tcp::socket::shutdown_both,
-                                                    ignored);
-                          });
+        write_rest(each, 0);
+    }
+
+    /// Writes the reply in parts at the speed of the daemon's link.
+    void write_rest(const session_pointer& each, std::size_t written)
+    {
+        constexpr std::size_t max_part = 16'384;
+        const std::uint64_t speed = site_.settings_.link_bytes_per_second;
+        const std::size_t rest = each->reply.size() - written;
+        const std::size_t part = speed == 0 ? rest : std::min(rest, max_part);
+        if (part == 0)
+        {
+            error_code ignored;
+            each->socket.shutdown(tcp::socket::shutdown_both, ignored);
+            return;
+        }
+        clock::time_point& free_at = link_free_at_[each->daemon];
+        free_at = std::max(free_at, clock::now());
+        each->timer.expires_at(free_at);
+        if (speed != 0)
+        {
+            free_at += std::chrono::microseconds(1'000'000 * part / speed);
+        }
+        each->timer.async_wait(
+            [this, each, written, part](error_code)
+            {
+                asio::async_write(
+                    each->socket,
+                    asio::buffer(each->reply.data() + written, part),
+                    [this, each, written, part](error_code error, std::size_t)
+                    {
+                        if (!error)
+                        {
+                            write_rest(each, written + part);
+                        }
+                    });
+            });
     }
 
     site& site_;
@@ -430,6 +475,7 @@
     std::vector<change> history_;
     std::map<std::string, std::uint64_t> created_;
     std::vector<bool> denied_;
+    std::vector<clock::time_point> link_free_at_;
     std::vector<std::unique_ptr<tcp::acceptor>> acceptors_;
 };
 
@@ -456,6 +502,7 @@
     {
         std::uint32_t next_from_caller = 0;
         bool requested = false;
+        milliseconds opened{};
         bool answered = false;
         packet answer;
     };
@@ -480,6 +527,8 @@
     std::array<unsigned char, 2048> buffer{};
     asio::steady_timer beat_timer;
     bool cut = false;
+    bool crashed = false;
+    bool draining = false;
     std::uint64_t sequence = 0;
     milliseconds last_beat{};
     std::map<std::pair<std::uint64_t, std::uint64_t>, flow> flows;
@@ -634,7 +683,8 @@
                                 {
                                     return each.from <= moment &&
                                            (each.until == milliseconds::max() ||
-                                            each.until + stability > moment);
+                                            each.until + settings_.stability >
+                                                moment);
                                 });
 }
 
@@ -670,7 +720,7 @@
         {"zone", settings_.zones[each.zone]},
         {"version", "v1"},
         {"concurrency", 2},
-        {"state", "ready"},
+        {"state", each.draining ? "draining" : "ready"},
         {"warmup_left_ms", 0},
         {"sequence", each.sequence},
         {"born", 1'790'000'000'000 + target}}
@@ -712,13 +762,13 @@
     }
     out << "fault_tolerance:\n  machines: 2\n  zones: 1\n  region_count: 0\n"
         << "bounds:\n  seed_lag_s: 3\n  reuse_after_s: 2\n  stability_ms: "
-        << stability.count() << "\n  ack_ms: 5000\n  catch_up_s: 4\n"
-        << "  drain_ms: " << drain_bound.count()
+        << settings_.stability.count() << "\n  ack_ms: 5000\n  catch_up_s: 4\n"
+        << "  drain_ms: " << settings_.drain.count()
         << "\n  grace_s: 6\n  loss_slack_ms: 200\n  config_apply_ms: "
-        << apply_bound.count()
+        << settings_.apply.count()
         << "\n  rollback_slack_ms: 250\n  max_stretch_ms: 12000\n"
         << "  warmup_factor: 1.5\n  warmup_slack: 5\n  evacuation_ms: "
-        << evacuation_bound.count()
+        << settings_.evacuation.count()
         << "\n  recovery_s: 12\n  reorder_window_ms: 2000\n"
         << "  flow_max_s: 60\nhash: \"steady\"\nforwarding_mode: \"echo\"\n"
         << "platform:\n  address: \""
@@ -752,7 +802,7 @@
 
 void site::stop_daemons()
 {
-    for (const int signal : {SIGTERM, SIGKILL})
+    for (const int signal : {interrupted_ ? SIGKILL : SIGTERM, SIGKILL})
     {
         for (const auto& each : daemons_)
         {
@@ -866,6 +916,33 @@
     at(now() + heartbeat, [this, target] { beat(target); });
 }
 
+void site::drain(unsigned target)
+{
+    targets_[target]->draining = true;
+    store_->put("servers/" + targets_[target]->id, entry_of(target));
+    absences_.push_back({target, now()});
+    record("target " + targets_[target]->id + " is draining");
+}
+
+void site::crash_target(unsigned target)
+{
+    target_state& each = *targets_[target];
+    each.cut = true;
+    each.crashed = true;
+    record("target " + each.id + " crashes");
+    for (const auto& [key, flow] : each.flows)
+    {
+        if (flow.requested && !flow.answered)
+        {
+            lost_requests_.push_back({now(), target, flow.opened});
+            record("an accepted request is lost at target " + each.id +
+                   "; its flow opened at " +
+                   std::to_string(flow.opened.count()) + " ms");
+        }
+    }
+    each.flows.clear();
+}
+
 void site::receive_at_target(unsigned target)
 {
     target_state& each = *targets_[target];
@@ -881,7 +958,7 @@
                 {
                     ++daemon;
                 }
-                if (daemon < daemon_count())
+                if (daemon < daemon_count() && !each.crashed)
                 {
                     handle_at_target(target, each.buffer.data(), size, daemon);
                 }
@@ -931,6 +1008,7 @@
         {
             found = each.flows.try_emplace(key).first;
             found->second.next_from_caller = received->sequence + 1;
+            found->second.opened = now();
             arrivals_.push_back({now(), target, daemon});
             record("target " + each.id + " takes an opening packet from " +
                    daemons_[daemon]->name);
@@ -1260,9 +1338,9 @@
        [this, route] { play_route(route); });
 }
 
-bool site::run(milliseconds length)
+std::size_t site::publish_configuration(unsigned idle_routes)
 {
-    started_ = clock::now();
+    version_ += 3;
     json routes = json::array();
     for (const route_settings& each : settings_.routes)
     {
@@ -1276,6 +1354,18 @@
                           {"service", each.service},
                           {"max_attempts", 2}});
     }
+    for (unsigned i = 0; i < idle_routes; ++i)
+    {
+        routes.push_back({{"name", "r-idle" + std::to_string(i)},
+                          {"host", address(network_, 9, 1).to_string()},
+                          {"prefix", "/" + std::to_string(10'000 + i) + "/"},
+                          {"kind", "safe"},
+                          {"timeout_ms", 2000 + version_ % 500},
+                          {"aim_ms", 150},
+                          {"priority", 2},
+                          {"service", settings_.services.front().name},
+                          {"max_attempts", 2}});
+    }
     json services = json::array();
     for (const service_settings& each : settings_.services)
     {
@@ -1287,15 +1377,35 @@
                             {"warmup_s", 2.0},
                             {"warmup_per_s", 0.0}});
     }
-    store_->put("op/config", json{{"version", 7},
-                                  {"routes", routes},
-                                  {"services", services},
-                                  {"limits",
-                                   {{"max_header_bytes", 16384},
-                                    {"max_body_bytes", 262144},
-                                    {"header_timeout_ms", 3000},
-                                    {"idle_timeout_ms", 15000}}}}
-                                 .dump());
+    const std::string document = json{{"version", version_},
+                                      {"routes", routes},
+                                      {"services", services},
+                                      {"limits",
+                                       {{"max_header_bytes", 16384},
+                                        {"max_body_bytes", 262144},
+                                        {"header_timeout_ms", 3000},
+                                        {"idle_timeout_ms", 15000}}}}
+                                     .dump();
+    store_->put("op/config", document);
+    record("version " + std::to_string(version_) +
+           " of the configuration is confirmed, " +
+           std::to_string(document.size()) + " bytes");
+    return document.size();
+}
+
+bool site::run(milliseconds length)
+{
+    started_ = clock::now();
+    signals_.async_wait(
+        [this](error_code error, int)
+        {
+            if (!error)
+            {
+                interrupted_ = true;
+                context_.stop();
+            }
+        });
+    publish_configuration(0);
     for (unsigned i = 0; i < targets_.size(); ++i)
     {
         receive_at_target(i);
@@ -1368,7 +1478,7 @@
         }
     }
     record_.flush();
-    return served && outcomes_.served > 100;
+    return served && !interrupted_ && outcomes_.served > 100;
 }
 
 } // namespace review
--- a/review/standins-2/site.h
+++ b/review/standins-2/site.h
@@ -20,6 +20,7 @@
 
 #include <array>
 #include <chrono>
+#include <csignal>
 #include <cstdint>
 #include <fstream>
 #include <functional>
@@ -74,13 +75,21 @@
     unsigned daemons_per_zone = 2;
     std::vector<service_settings> services;
     std::vector<route_settings> routes;
+    /// Bounds of the site.
+    milliseconds stability = review::stability;
+    milliseconds drain = drain_bound;
+    milliseconds apply = apply_bound;
+    milliseconds evacuation = evacuation_bound;
+    /// Speed of each daemon's link to the store; 0 for no limit.
+    std::uint64_t link_bytes_per_second = 0;
     /// Age of the state that reads with `serializable` = 1 return.
     milliseconds replica_age{};
     std::vector<std::string> contracts;
 };
 
 /// Settings like those of sites/exlibris-centrala.toml: 6 daemons in 3 zones,
-/// 14 and 4 targets. The rates are lower, so that the case runs on any machine.
+/// services of 14 and 4 targets, the kinds of requests of its sheet. Previews
+/// are fewer, so that the case runs on any machine.
 site_settings small_deployment();
 
 /// An opening packet that a target took.
@@ -92,7 +101,7 @@
     unsigned daemon = 0;
 };
 
-/// When the store had no entry of a target.
+/// When the store had no entry of a target, or one that says that it drains.
 struct absence
 {
     unsigned target = 0;
@@ -100,7 +109,16 @@
     milliseconds until = milliseconds::max();
 };
 
-/// How a caller's attempts ended.
+/// A request that a target had begun or queued when it crashed.
+struct lost_request
+{
+    milliseconds at{};
+    unsigned target = 0;
+    /// When the target took the opening packet of the request's flow.
+    milliseconds opened{};
+};
+
+/// How callers' attempts ended.
 struct outcome_counts
 {
     unsigned served = 0;
@@ -128,6 +146,13 @@
     /// The target's writes do not reach the store, or reach it again. Callers
     /// and daemons reach the target all the while.
     void cut_from_store(unsigned target, bool cut);
+    /// The target announces that it is draining. It serves on.
+    void drain(unsigned target);
+    /// Publishes a newer version of the configuration, which has as many idle
+    /// routes beside those of the settings. Returns its size in bytes.
+    std::size_t publish_configuration(unsigned idle_routes);
+    /// The target ends without notice and never comes back.
+    void crash_target(unsigned target);
     [[nodiscard]] unsigned daemon_count() const;
     [[nodiscard]] std::vector<unsigned>
     targets_of(const std::string& service) const;
@@ -141,6 +166,10 @@
     {
         return absences_;
     }
+    [[nodiscard]] const std::vector<lost_request>& lost_requests() const
+    {
+        return lost_requests_;
+    }
     [[nodiscard]] const outcome_counts& outcomes() const
     {
         return outcomes_;
@@ -182,6 +211,9 @@
     std::string folder_;
     unsigned network_ = 0;
     asio::io_context context_;
+    /// Ends the run, and with it the daemons, if the script is ended.
+    asio::signal_set signals_{context_, SIGINT, SIGTERM};
+    bool interrupted_ = false;
     clock::time_point started_;
     bool traffic_stopped_ = false;
     std::unique_ptr<store> store_;
@@ -193,8 +225,10 @@
              std::shared_ptr<caller_flow>>
         flows_;
     std::uint64_t last_request_ = 0;
+    std::uint64_t version_ = 0;
     std::vector<arrival> arrivals_;
     std::vector<absence> absences_;
+    std::vector<lost_request> lost_requests_;
     outcome_counts outcomes_;
 };
 
